--- /dev/null
+++ b/core/collector/doc.go
@@ -0,0 +1,2 @@
+// Package collector holds generic containers.
+package collector
--- /dev/null
+++ b/core/collector/queue.go
@@ -0,0 +1,29 @@
+package collector
+
+// Queue is first in, first out, with constant amortized cost.
+type Queue[T any] struct {
+	items []T
+	head  int
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return len(q.items) - q.head }
+
+// Push appends item.
+func (q *Queue[T]) Push(item T) { q.items = append(q.items, item) }
+
+// Pop removes and returns the oldest item.
+func (q *Queue[T]) Pop() (T, bool) {
+	var zero T
+	if q.Len() == 0 {
+		return zero, false
+	}
+	item := q.items[q.head]
+	q.items[q.head] = zero
+	q.head++
+	if q.head > 64 && q.head*2 > len(q.items) {
+		q.items = append(q.items[:0], q.items[q.head:]...)
+		q.head = 0
+	}
+	return item, true
+}
--- /dev/null
+++ b/core/mailer/doc.go
@@ -0,0 +1,2 @@
+// Package mailer carries typed events to the one goroutine that owns a process's control state.
+package mailer
--- /dev/null
+++ b/core/mailer/mailbox.go
@@ -0,0 +1,29 @@
+package mailer
+
+import "context"
+
+// Mailbox is the queue in front of a control goroutine. Size is set before use; traffic
+// goroutines block when it is full, which pushes back on their connections.
+type Mailbox[E any] struct {
+	events chan E
+}
+
+// NewMailbox returns a mailbox that holds size events.
+func NewMailbox[E any](size int) *Mailbox[E] {
+	return &Mailbox[E]{events: make(chan E, size)}
+}
+
+// Send delivers event, or returns the context's error once ctx ends.
+func (m *Mailbox[E]) Send(ctx context.Context, event E) error {
+	select {
+	case m.events <- event:
+		return nil
+	default:
+	}
+	select {
+	case m.events <- event:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/core/specifier/acceptjob.go
@@ -0,0 +1,16 @@
+package specifier
+
+import "time"
+
+// AcceptJob asks that Owner becomes the owner of a new submission. It is idempotent for the
+// same owner, so a proposal whose decision was lost is sent again.
+type AcceptJob struct {
+	Job       JobID
+	Digest    Digest
+	Owner     Identity
+	TaskCount int
+	Revision  Revision      // of the configuration that the owner acts under
+	TimeLeft  time.Duration // until the job's deadline, when proposed
+}
+
+func (AcceptJob) command() {}
--- /dev/null
+++ b/core/specifier/canceljob.go
@@ -0,0 +1,10 @@
+package specifier
+
+// CancelJob cancels a submission that no entry owns: one that is unknown or released is
+// recorded as NotRun, so that a submission that arrives late does not run. A job with an
+// owner is cancelled by that owner; the decision names it.
+type CancelJob struct {
+	Job JobID
+}
+
+func (CancelJob) command() {}
--- /dev/null
+++ b/core/specifier/decision.go
@@ -0,0 +1,19 @@
+package specifier
+
+import "net/netip"
+
+// Decision is the controllers' answer to a command. Only the fields that its verdict
+// mentions are set.
+type Decision struct {
+	Verdict   Verdict
+	Owner     Identity // Attached
+	OwnerAddr netip.AddrPort
+	OwnerDown bool       // Attached: the owner is recorded as Down, so the job may be taken over
+	Epoch     Epoch      // Accepted, Attached, Finished
+	Revision  Revision   // of the configuration in force
+	Answer    Answer     // Finished, without results
+	Departed  []Identity // Accepted after TakeOverJob: agents that went Down since the job was accepted
+	Operator  string     // Conflict: who made the change that won
+	Detail    string
+	Leader    netip.AddrPort // NotLeader: zero when there is none
+}
--- /dev/null
+++ b/core/specifier/finishjob.go
@@ -0,0 +1,11 @@
+package specifier
+
+// FinishJob records the outcome of a submission. Only the owner of Epoch may finish it.
+type FinishJob struct {
+	Job    JobID
+	Owner  Identity
+	Epoch  Epoch
+	Answer Answer // without Results: agents hold those
+}
+
+func (FinishJob) command() {}
--- /dev/null
+++ b/core/specifier/problems.go
@@ -0,0 +1,43 @@
+package specifier
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxProblems keeps the answer to a hostile input short.
+const maxProblems = 20
+
+// Problems collects what is wrong with an input, by field, so that all of it is reported together.
+type Problems struct {
+	lines []string
+}
+
+// Add records that the value of field is wrong.
+func (p *Problems) Add(field, format string, args ...any) {
+	if len(p.lines) < maxProblems {
+		p.lines = append(p.lines, field+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+// OrNil returns nil when nothing was recorded.
+func (p *Problems) OrNil() *Problems {
+	if len(p.lines) == 0 {
+		return nil
+	}
+	return p
+}
+
+// Lines returns one line for each problem.
+func (p *Problems) Lines() []string { return p.lines }
+
+// Error joins the problems.
+func (p *Problems) Error() string { return strings.Join(p.lines, "; ") }
+
+func (p *Problems) name(field, text string) {
+	if text == "" || len(text) > MaxName {
+		p.Add(field, "has %d bytes, expected 1 to %d", len(text), MaxName)
+	}
+}
+
+func indexed(field string, i int) string { return fmt.Sprintf("%s[%d]", field, i) }
--- /dev/null
+++ b/core/specifier/profile.go
@@ -0,0 +1,18 @@
+package specifier
+
+import "time"
+
+// Profile says how a kind of work is treated. The zero value of a field that has a default
+// means that default.
+type Profile struct {
+	Name         string        `yaml:"Name"`
+	Service      string        `yaml:"Service"`      // upstreams that announce this service run the work
+	Repeatable   bool          `yaml:"Repeatable"`   // a task may run again once its first run is proved lost
+	MaxTimeLeft  time.Duration `yaml:"MaxTimeLeft"`  // longest deadline accepted; default MaxTimeLeft
+	TypicalTime  time.Duration `yaml:"TypicalTime"`  // expected run time of a task until it has been learned
+	QueueBound   int           `yaml:"QueueBound"`   // tasks that wait at one entry before refusal; default 10,000
+	RetryBudget  float64       `yaml:"RetryBudget"`  // retries for each first attempt; default 0.1
+	Priority     int           `yaml:"Priority"`     // 0 to 9; each step counts as 100 ms earlier arrival
+	LongShare    float64       `yaml:"LongShare"`    // share of a worker's slots that long tasks may hold; default 0.5
+	BreakerAfter int           `yaml:"BreakerAfter"` // consecutive failures that eject a worker; default 5
+}
--- /dev/null
+++ b/core/specifier/result.go
@@ -0,0 +1,7 @@
+package specifier
+
+// Result is what one task returned.
+type Result struct {
+	Task string // the task's id
+	Body []byte // as the upstream sent it, at most MaxResult bytes
+}
--- /dev/null
+++ b/core/specifier/taskkey.go
@@ -0,0 +1,7 @@
+package specifier
+
+// TaskKey names one task of one submission.
+type TaskKey struct {
+	Job  JobID
+	Task string
+}
