--- /dev/null
+++ b/core/recorder/buffer.go
@@ -0,0 +1,37 @@
+package recorder
+
+import (
+	"sync"
+	"time"
+
+	"oleandertally/core/collector"
+)
+
+// Buffer keeps the newest events of one process. Fields are set before use; it is safe for
+// concurrent use.
+type Buffer struct {
+	Process string
+	Cap     int // events kept
+	Clock   func() time.Time
+
+	mutex    sync.Mutex
+	ring     collector.Ring[Event]
+	sequence uint64
+}
+
+// Add stamps the event with the process, its sequence number and the time, and keeps it.
+func (b *Buffer) Add(event Event) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.ring.Cap = b.Cap
+	b.sequence++
+	event.Process, event.Sequence, event.At = b.Process, b.sequence, b.Clock()
+	b.ring.Add(event)
+}
+
+// All returns the kept events, oldest first, and how many were dropped.
+func (b *Buffer) All() ([]Event, int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.ring.All(), b.ring.Dropped()
+}
--- /dev/null
+++ b/core/recorder/event.go
@@ -0,0 +1,20 @@
+package recorder
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	At       time.Time // on the clock of Process; not comparable between hosts
+	Process  string
+	Sequence uint64 // counts the events of Process from 1
+	Kind     Kind
+	Job      specifier.JobID
+	Task     string
+	Epoch    specifier.Epoch
+	Other    string
+	Detail   string
+}
