Add LookupJob, which an entry asks before it refuses a job

Cause: a refusal that an entry gives on its own view may be false, because an earlier submission under the same key may have run through another entry.

--- a/core/specifier/command.go
+++ b/core/specifier/command.go
@@ -1,5 +1,5 @@
 package specifier
 
 // Command is one change of the replicated state: AcceptJob, TakeOverJob, FinishJob, ReleaseJob,
-// CancelJob, JoinMember, EndMember, DrainMember or ChangeConfiguration.
+// CancelJob, LookupJob, JoinMember, EndMember, DrainMember or ChangeConfiguration.
 type Command interface{ command() }
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -66,6 +66,8 @@
 		return r.release(command)
 	case specifier.CancelJob:
 		return r.cancel(command)
+	case specifier.LookupJob:
+		return r.lookup(command)
 	case specifier.JoinMember:
 		return r.join(command)
 	case specifier.EndMember:
--- a/state/registrar/submissions.go
+++ b/state/registrar/submissions.go
@@ -106,6 +106,19 @@
 	return r.finished(known)
 }
 
+func (r *Registrar) lookup(c specifier.LookupJob) specifier.Decision {
+	known := r.submissions[c.Job]
+	switch {
+	case known == nil || known.released:
+		return specifier.Decision{Verdict: specifier.Unknown}
+	case known.digest != c.Digest:
+		return specifier.Decision{Verdict: specifier.Conflict}
+	case known.finished:
+		return r.finished(known)
+	}
+	return r.attached(known)
+}
+
 func (r *Registrar) finished(known *submission) specifier.Decision {
 	return specifier.Decision{Verdict: specifier.Finished, Owner: known.owner, OwnerAddr: r.members[known.owner.Name].Addr,
 		OwnerDown: r.isDown(known.owner), Epoch: known.epoch, Answer: known.answer}
