Add the coordinator of an entry and the executor of an agent

Cause: the path of a job needs its two decision cores before anything carries their messages. Change: coordinator (accept, attach, take over, collect, fail, release, cancel) and executor (start-once records, fencing, slots, lease) as pure state machines; the version of the membership on decisions, so that whoever takes a job over misses no agent.

--- /dev/null
+++ b/agent/executor/action.go
@@ -0,0 +1,4 @@
+package executor
+
+// Action is something that the agent does.
+type Action interface{ action() }
--- /dev/null
+++ b/agent/executor/assigned.go
@@ -0,0 +1,21 @@
+package executor
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Assigned asks the agent to run a task.
+type Assigned struct {
+	Entry    specifier.Identity
+	Link     uint64
+	Key      specifier.TaskKey
+	Epoch    specifier.Epoch
+	Payload  []byte
+	Order    time.Time // the task's order key, on this agent's clock
+	Deadline time.Time
+	Profile  string
+}
+
+func (Assigned) event() {}
--- /dev/null
+++ b/agent/executor/event.go
@@ -0,0 +1,4 @@
+package executor
+
+// Event is something that happened to the agent.
+type Event interface{ event() }
--- /dev/null
+++ b/agent/executor/executor.go
@@ -0,0 +1,382 @@
+package executor
+
+import (
+	"net/netip"
+	"time"
+
+	"oleandertally/core/collector"
+	"oleandertally/core/recorder"
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/orderer"
+)
+
+// Executor is the control state of an agent. Exported fields are set before the first Step.
+type Executor struct {
+	// QueueBound is the most tasks that wait here; more are refused.
+	QueueBound int
+	// HeldBytes bounds the results kept for repeats; new tasks are refused beyond it, since a
+	// result that was answered once must be there for a repeat.
+	HeldBytes int
+
+	jobs     map[specifier.JobID]*holding
+	queue    collector.Heap[*record]
+	expiring collector.Heap[expiry]
+	links    map[specifier.Identity]uint64
+	upstream netip.AddrPort
+	slots    int // 0 while the upstream is absent
+	running  int
+	queued   int
+	held     int
+	lease    time.Time
+	draining bool
+	out      []Action
+}
+
+// New returns an executor without an upstream or a lease.
+func New(queueBound, heldBytes int) *Executor {
+	return &Executor{
+		QueueBound: queueBound,
+		HeldBytes:  heldBytes,
+		jobs:       make(map[specifier.JobID]*holding),
+		queue:      collector.Heap[*record]{Less: startsBefore},
+		expiring:   collector.Heap[expiry]{Less: expiry.less},
+		links:      make(map[specifier.Identity]uint64),
+	}
+}
+
+// Step handles one event.
+func (x *Executor) Step(now time.Time, event Event) []Action {
+	x.out = nil
+	switch event := event.(type) {
+	case Linked:
+		x.links[event.Entry] = event.Link
+	case Unlinked:
+		if x.links[event.Entry] == event.Link {
+			delete(x.links, event.Entry)
+		}
+	case Assigned:
+		x.assigned(now, event)
+	case Withdrawn:
+		x.withdrawn(event)
+	case Fenced:
+		x.fenced(now, event)
+	case UpstreamUp:
+		x.upstreamUp(event)
+	case UpstreamDown:
+		x.upstreamDown()
+	case RunEnded:
+		x.runEnded(now, event)
+	case Leased:
+		x.lease = event.Until
+	case Draining:
+		x.drain(event.On)
+	}
+	x.start(now)
+	return x.out
+}
+
+// Expire refuses what is too late and forgets the records whose time is over.
+func (x *Executor) Expire(now time.Time) []Action {
+	x.out = nil
+	if !x.leased(now) {
+		x.refuseQueued(NoLease)
+	}
+	for {
+		next, ok := x.expiring.Peek()
+		if !ok || next.at.After(now) {
+			break
+		}
+		x.expiring.Pop()
+		x.expire(now, next)
+	}
+	x.start(now)
+	return x.out
+}
+
+// Next returns the earliest deadline.
+func (x *Executor) Next() time.Time {
+	next, ok := x.expiring.Peek()
+	if x.queued > 0 && (!ok || x.lease.Before(next.at)) {
+		return x.lease
+	}
+	if !ok {
+		return time.Time{}
+	}
+	return next.at
+}
+
+// Load returns the agent's count of its work.
+func (x *Executor) Load() specifier.Load {
+	slots := x.slots
+	if x.draining {
+		slots = 0
+	}
+	return specifier.Load{Slots: slots, Running: x.running, Queued: x.queued}
+}
+
+// Idle reports whether nothing is queued or running.
+func (x *Executor) Idle() bool { return x.queued == 0 && x.running == 0 }
+
+func (x *Executor) assigned(now time.Time, e Assigned) {
+	if x.links[e.Entry] != e.Link {
+		return
+	}
+	job := x.jobs[e.Key.Job]
+	if job != nil {
+		if e.Epoch < job.epoch {
+			x.refuse(e, Superseded)
+			return
+		}
+		if known := job.tasks[e.Key.Task]; known != nil {
+			x.repeated(job, known, e)
+			return
+		}
+	}
+	if cause := x.unfit(now, e); cause != "" {
+		x.refuse(e, cause)
+		return
+	}
+	job = x.hold(e.Key.Job, e.Epoch, e.Entry, e.Deadline)
+	task := &record{key: e.Key, epoch: e.Epoch, state: specifier.TaskQueued, payload: e.Payload,
+		order: e.Order, deadline: e.Deadline, queued: now}
+	job.tasks[e.Key.Task] = task
+	x.queue.Push(task)
+	x.queued++
+	x.expiring.Push(expiry{at: e.Deadline, key: e.Key})
+	x.note(recorder.TaskQueued, task, e.Entry.Name, "")
+}
+
+// repeated handles a task that is held already: it is never started again.
+func (x *Executor) repeated(job *holding, known *record, e Assigned) {
+	job.owner, job.epoch, known.epoch = e.Entry, e.Epoch, e.Epoch
+	if known.state == specifier.TaskEnded || known.state == specifier.TaskBroken {
+		x.tell(job, known)
+	}
+}
+
+// unfit returns why the agent can't take the task now, or nothing.
+func (x *Executor) unfit(now time.Time, e Assigned) Cause {
+	switch {
+	case x.draining:
+		return Drain
+	case x.slots == 0:
+		return NoUpstream
+	case !x.leased(now):
+		return NoLease
+	case !e.Deadline.After(now):
+		return Late
+	case x.queued >= x.QueueBound || x.held >= x.HeldBytes:
+		return Full
+	}
+	return ""
+}
+
+func (x *Executor) withdrawn(e Withdrawn) {
+	job := x.jobs[e.Job]
+	if x.links[e.Entry] != e.Link || job == nil || e.Epoch < job.epoch {
+		return
+	}
+	x.dropQueued(job, Withdraw)
+}
+
+func (x *Executor) fenced(now time.Time, e Fenced) {
+	if x.links[e.Entry] != e.Link {
+		return
+	}
+	job := x.jobs[e.Job]
+	if job == nil || e.Epoch > job.epoch {
+		if job != nil {
+			x.dropSilently(job)
+		}
+		job = x.hold(e.Job, e.Epoch, e.Entry, e.Deadline)
+		x.out = append(x.out, Note{recorder.Event{Kind: recorder.JobFenced, Job: e.Job, Epoch: e.Epoch, Other: e.Entry.Name}})
+	}
+	x.out = append(x.out, Report{Entry: e.Entry, Job: e.Job, Epoch: job.epoch, Tasks: job.reports(), Load: x.Load()})
+}
+
+// hold returns the record of a job, raised to epoch and kept until after deadline.
+func (x *Executor) hold(id specifier.JobID, epoch specifier.Epoch, owner specifier.Identity, deadline time.Time) *holding {
+	job := x.jobs[id]
+	if job == nil {
+		job = &holding{tasks: make(map[string]*record)}
+		x.jobs[id] = job
+	}
+	job.owner, job.epoch = owner, epoch
+	if keep := deadline.Add(specifier.KeyRetention); keep.After(job.keep) {
+		job.keep = keep
+		x.expiring.Push(expiry{at: keep, key: specifier.TaskKey{Job: id}})
+	}
+	return job
+}
+
+func (x *Executor) upstreamUp(e UpstreamUp) {
+	changed := x.slots != e.Slots || x.upstream != e.Addr
+	x.upstream, x.slots = e.Addr, e.Slots
+	if changed {
+		x.out = append(x.out, Announce{Load: x.Load()})
+	}
+}
+
+func (x *Executor) upstreamDown() {
+	if x.slots == 0 {
+		return
+	}
+	x.slots = 0
+	x.refuseQueued(NoUpstream)
+	x.out = append(x.out, Announce{Load: x.Load()})
+}
+
+func (x *Executor) drain(on bool) {
+	if x.draining == on {
+		return
+	}
+	x.draining = on
+	if on {
+		x.refuseQueued(Drain)
+	}
+	x.out = append(x.out, Announce{Load: x.Load()})
+}
+
+func (x *Executor) runEnded(now time.Time, e RunEnded) {
+	x.running--
+	job := x.jobs[e.Key.Job]
+	if job == nil {
+		return
+	}
+	task := job.tasks[e.Key.Task]
+	if task == nil || task.state != specifier.TaskRunning {
+		return
+	}
+	if e.NotStarted {
+		delete(job.tasks, e.Key.Task)
+		x.out = append(x.out, Refused{Entry: job.owner, Key: e.Key, Epoch: job.epoch, Cause: NoUpstream, Load: x.Load()})
+		x.note(recorder.TaskRefused, task, job.owner.Name, string(NoUpstream))
+		x.upstreamDown()
+		return
+	}
+	task.state = specifier.TaskEnded
+	if e.Broken {
+		task.state = specifier.TaskBroken
+	}
+	task.body, task.detail, task.runTime = e.Body, e.Detail, now.Sub(task.started)
+	x.held += len(e.Body)
+	x.note(recorder.TaskEnded, task, job.owner.Name, e.Detail)
+	x.tell(job, task)
+}
+
+// start runs queued tasks in the free slots.
+func (x *Executor) start(now time.Time) {
+	for x.running < x.slots && x.queued > 0 && x.leased(now) {
+		task, ok := x.queue.Pop()
+		if !ok {
+			return
+		}
+		if task.state != specifier.TaskQueued || x.jobs[task.key.Job] == nil {
+			continue
+		}
+		x.queued--
+		if !task.deadline.After(now) {
+			x.dropTask(x.jobs[task.key.Job], task, Late)
+			continue
+		}
+		task.state, task.started, task.waited = specifier.TaskRunning, now, now.Sub(task.queued)
+		x.running++
+		x.note(recorder.TaskStarted, task, x.jobs[task.key.Job].owner.Name, "")
+		x.out = append(x.out, Run{Addr: x.upstream, Key: task.key, Epoch: task.epoch, Payload: task.payload, Deadline: task.deadline})
+		task.payload = nil
+	}
+}
+
+func (x *Executor) expire(now time.Time, e expiry) {
+	job := x.jobs[e.key.Job]
+	if job == nil {
+		return
+	}
+	if task := job.tasks[e.key.Task]; task != nil {
+		if task.state == specifier.TaskQueued && !task.deadline.After(now) {
+			x.queued--
+			x.dropTask(job, task, Late)
+		}
+		return
+	}
+	if e.key.Task == "" && !job.keep.After(now) {
+		if x.busy(job) {
+			// A task that outlives its record's time keeps the record, so that it is not started again.
+			x.expiring.Push(expiry{at: now.Add(time.Minute), key: e.key})
+			return
+		}
+		for _, task := range job.tasks {
+			x.held -= len(task.body)
+		}
+		delete(x.jobs, e.key.Job)
+	}
+}
+
+// busy reports whether a task of the job still runs; its record is then kept until it ends.
+func (x *Executor) busy(job *holding) bool {
+	for _, task := range job.tasks {
+		if task.state == specifier.TaskRunning {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *Executor) leased(now time.Time) bool { return now.Before(x.lease) }
+
+func (x *Executor) refuseQueued(cause Cause) {
+	for x.queued > 0 {
+		task, ok := x.queue.Pop()
+		if !ok {
+			return
+		}
+		if job := x.jobs[task.key.Job]; job != nil && task.state == specifier.TaskQueued {
+			x.queued--
+			x.dropTask(job, task, cause)
+		}
+	}
+}
+
+func (x *Executor) dropQueued(job *holding, cause Cause) {
+	for _, report := range job.reports() {
+		if task := job.tasks[report.Task]; task.state == specifier.TaskQueued {
+			x.queued--
+			x.dropTask(job, task, cause)
+		}
+	}
+}
+
+// dropSilently drops what has not started without telling the owner, who has been replaced.
+func (x *Executor) dropSilently(job *holding) {
+	for _, report := range job.reports() {
+		if task := job.tasks[report.Task]; task.state == specifier.TaskQueued {
+			x.queued--
+			task.state = ""
+			delete(job.tasks, report.Task)
+		}
+	}
+}
+
+func (x *Executor) dropTask(job *holding, task *record, cause Cause) {
+	task.state = ""
+	delete(job.tasks, task.key.Task)
+	x.out = append(x.out, Refused{Entry: job.owner, Key: task.key, Epoch: job.epoch, Cause: cause, Load: x.Load()})
+	x.note(recorder.TaskRefused, task, job.owner.Name, string(cause))
+}
+
+func (x *Executor) refuse(e Assigned, cause Cause) {
+	x.out = append(x.out, Refused{Entry: e.Entry, Key: e.Key, Epoch: e.Epoch, Cause: cause, Load: x.Load()})
+}
+
+func (x *Executor) tell(job *holding, task *record) {
+	x.out = append(x.out, Done{Entry: job.owner, Key: task.key, Epoch: job.epoch, Broken: task.state == specifier.TaskBroken,
+		Body: task.body, Detail: task.detail, RunTime: task.runTime, Waited: task.waited, Load: x.Load()})
+}
+
+func (x *Executor) note(kind recorder.Kind, task *record, other, detail string) {
+	x.out = append(x.out, Note{recorder.Event{Kind: kind, Job: task.key.Job, Task: task.key.Task, Epoch: task.epoch, Other: other, Detail: detail}})
+}
+
+func startsBefore(a, b *record) bool {
+	return orderer.Key{At: a.order, Job: a.key.Job, Task: a.key.Task}.Less(orderer.Key{At: b.order, Job: b.key.Job, Task: b.key.Task})
+}
--- /dev/null
+++ b/agent/executor/fenced.go
@@ -0,0 +1,19 @@
+package executor
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Fenced asks for the agent's record of a job. An epoch above the known one makes the
+// sender the job's owner: the agent then drops what it has not started and refuses lower epochs.
+type Fenced struct {
+	Entry    specifier.Identity
+	Link     uint64
+	Job      specifier.JobID
+	Epoch    specifier.Epoch
+	Deadline time.Time
+}
+
+func (Fenced) event() {}
--- /dev/null
+++ b/agent/executor/run.go
@@ -0,0 +1,19 @@
+package executor
+
+import (
+	"net/netip"
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Run calls the upstream with a task. It is performed once for each task.
+type Run struct {
+	Addr     netip.AddrPort
+	Key      specifier.TaskKey
+	Epoch    specifier.Epoch
+	Payload  []byte
+	Deadline time.Time
+}
+
+func (Run) action() {}
--- a/core/specifier/decision.go
+++ b/core/specifier/decision.go
@@ -13,7 +13,10 @@
 	Revision  Revision   // of the configuration in force
 	Answer    Answer     // Finished, without results
 	Departed  []Identity // Accepted after TakeOverJob: agents that went Down since the job was accepted
-	Operator  string     // Conflict: who made the change that won
-	Detail    string
-	Leader    netip.AddrPort // NotLeader: zero when there is none
+	// MemberVersion counts the changes of the membership. Whoever takes a job over must know
+	// the members of this version, or an agent that runs a task could be missed.
+	MemberVersion uint64
+	Operator      string // Conflict: who made the change that won
+	Detail        string
+	Leader        netip.AddrPort // NotLeader: zero when there is none
 }
--- /dev/null
+++ b/core/specifier/taskreport.go
@@ -0,0 +1,9 @@
+package specifier
+
+// TaskReport is an agent's record of one task.
+type TaskReport struct {
+	Task   string
+	State  TaskState
+	Body   []byte // Ended
+	Detail string // Broken
+}
--- /dev/null
+++ b/entry/coordinator/abandoned.go
@@ -0,0 +1,11 @@
+package coordinator
+
+import "oleandertally/core/specifier"
+
+// Abandoned reports that a waiter's connection closed. The job goes on.
+type Abandoned struct {
+	Waiter Waiter
+	Job    specifier.JobID
+}
+
+func (Abandoned) event() {}
--- /dev/null
+++ b/entry/coordinator/fence.go
@@ -0,0 +1,17 @@
+package coordinator
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Fence asks an agent for its record of a job, and makes it refuse lower epochs.
+type Fence struct {
+	Agent    specifier.Identity
+	Job      specifier.JobID
+	Epoch    specifier.Epoch
+	Deadline time.Time
+}
+
+func (Fence) action() {}
--- /dev/null
+++ b/entry/coordinator/identified.go
@@ -0,0 +1,11 @@
+package coordinator
+
+import "oleandertally/core/specifier"
+
+// Identified sets the identity under which this entry proposes new jobs: at the start, and when
+// an earlier incarnation was recorded as Down.
+type Identified struct {
+	Self specifier.Identity
+}
+
+func (Identified) event() {}
--- /dev/null
+++ b/entry/coordinator/propose.go
@@ -0,0 +1,11 @@
+package coordinator
+
+import "oleandertally/core/specifier"
+
+// Propose sends a command to the leading controller. It is resent on each new stream until
+// it is decided: every command is idempotent.
+type Propose struct {
+	Command specifier.Command
+}
+
+func (Propose) action() {}
--- /dev/null
+++ b/entry/coordinator/timer.go
@@ -0,0 +1,20 @@
+package coordinator
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// timer wakes a job. A timer that no longer matches the job's state does nothing.
+type timer struct {
+	at  time.Time
+	job specifier.JobID
+}
+
+func (t timer) less(other timer) bool {
+	if !t.at.Equal(other.at) {
+		return t.at.Before(other.at)
+	}
+	return string(t.job[:]) < string(other.job[:])
+}
--- a/state/registrar/members.go
+++ b/state/registrar/members.go
@@ -23,7 +23,7 @@
 	if r.draining[joined.Name] {
 		joined.State = specifier.Draining
 	}
-	r.members[joined.Name] = joined
+	r.setMember(joined)
 	return specifier.Decision{Verdict: specifier.Applied}
 }
 
@@ -34,7 +34,7 @@
 	}
 	r.depart(known)
 	known.State = specifier.Down
-	r.members[known.Name] = known
+	r.setMember(known)
 	return specifier.Decision{Verdict: specifier.Applied}
 }
 
@@ -53,11 +53,21 @@
 		if c.Draining {
 			known.State = specifier.Draining
 		}
-		r.members[c.Name] = known
+		r.setMember(known)
 	}
 	return specifier.Decision{Verdict: specifier.Applied}
 }
 
+func (r *Registrar) setMember(member specifier.Member) {
+	if r.members[member.Name] != member {
+		r.members[member.Name] = member
+		r.memberVersion++
+	}
+}
+
+// MemberVersion counts the changes of the membership.
+func (r *Registrar) MemberVersion() uint64 { return r.memberVersion }
+
 // Members returns every member, by name.
 func (r *Registrar) Members() []specifier.Member {
 	members := make([]specifier.Member, 0, len(r.members))
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -17,6 +17,7 @@
 	submissions   map[specifier.JobID]*submission
 	expiring      collector.Heap[expiry]
 	members       map[string]specifier.Member
+	memberVersion uint64
 	departed      []departure
 	draining      map[string]bool // by an operator, outlives restarts of the member
 	configuration specifier.Configuration
@@ -50,6 +51,7 @@
 	for i, command := range batch.Commands {
 		decisions[i] = r.apply(command)
 		decisions[i].Revision = r.configuration.Revision
+		decisions[i].MemberVersion = r.memberVersion
 	}
 	return decisions
 }
