Convert commands, decisions and batches to messages and back

Cause: entries, controllers and the log exchange commands and decisions, but only the message definitions existed. Change: core/encoder has Encode and Decode functions for commands, decisions, batches, members, configurations, profiles, teams, answers and identities. Decoding checks lengths, ranges, addresses and list sizes and reports every problem with the path of its field. Batch moves to specifier, so that encoder does not depend on the state module; registrar.Batch is an alias. specifier.Profile and Team get Check. Details are bounded: 256 bytes for an answer, because it is remembered for each submission, and 8 KiB for a decision. The values of a configuration change are left to the registrar, so that all problems are in its decision. Conclusion: commands can cross links and enter the log.

--- /dev/null
+++ b/core/encoder/batch.go
@@ -0,0 +1,43 @@
+package encoder
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// maxAdvance bounds one step of the log's clock: a batch that claims more would make every
+// replica forget its submissions at once.
+const maxAdvance = 24 * time.Hour
+
+// EncodeBatch returns the content of one log entry.
+func EncodeBatch(batch specifier.Batch) *LogBatch {
+	m := &LogBatch{Advance: int64(batch.Advance)}
+	for _, command := range batch.Commands {
+		m.Commands = append(m.Commands, EncodeCommand(command))
+	}
+	return m
+}
+
+// DecodeBatch accepts at most MaxBatch commands. Errors name the command by its position.
+func DecodeBatch(m *LogBatch) (specifier.Batch, error) {
+	c := &checker{}
+	batch := specifier.Batch{Advance: c.span("LogBatch.Advance", m.GetAdvance(), 0, maxAdvance)}
+	if c.length("LogBatch.Commands", len(m.GetCommands()), specifier.MaxBatch) {
+		for i, item := range m.GetCommands() {
+			batch.Commands = append(batch.Commands, c.item(indexed("LogBatch.Commands", i), item))
+		}
+	}
+	if err := c.err(); err != nil {
+		return specifier.Batch{}, err
+	}
+	return batch, nil
+}
+
+// item prefixes the problems of one command with its path.
+func (c *checker) item(path string, m *Command) specifier.Command {
+	inner := &checker{}
+	command := inner.command("Command", m)
+	c.problems.Merge(path, inner.problems.OrNil())
+	return command
+}
--- a/core/specifier/limits.go
+++ b/core/specifier/limits.go
@@ -11,6 +11,24 @@
 	MaxBody = 4 << 20
 	// MaxResult is the largest result of one task, in bytes.
 	MaxResult = 64 << 10
+	// MaxDetail is the longest Detail of an answer, in bytes. The controllers remember it for
+	// every finished submission, so it is short.
+	MaxDetail = 256
+	// MaxReport is the longest Detail of a decision, in bytes: room for all Problems of a change.
+	MaxReport = 8 << 10
+	// MaxProfiles is the largest number of profiles in a configuration.
+	MaxProfiles = 1024
+	// MaxTeams is the largest number of teams in a configuration; 220 are expected.
+	MaxTeams = 1024
+	// MaxMembers is the largest number of members; 940 workers are expected.
+	MaxMembers = 4096
+	// MaxDeparted is the largest number of incarnations that are remembered as Down. All members
+	// may restart four times within MaxTimeLeft + KeyRetention.
+	MaxDeparted = 16384
+	// MaxSlots is the largest number of slots of one upstream.
+	MaxSlots = 4096
+	// MaxBatch is the largest number of commands in one log entry.
+	MaxBatch = 4096
 	// MaxName is the longest key, team, profile, task or member name, in bytes.
 	MaxName = 128
 	// MaxTimeLeft bounds how far ahead a deadline may lie.
--- a/core/specifier/problems.go
+++ b/core/specifier/problems.go
@@ -1,6 +1,7 @@
 package specifier
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 )
@@ -20,6 +21,18 @@
 	}
 }
 
+// Merge adds the problems of a part of the input, under the path of that part.
+func (p *Problems) Merge(path string, part *Problems) {
+	if part == nil {
+		return
+	}
+	for _, line := range part.lines {
+		if len(p.lines) < maxProblems {
+			p.lines = append(p.lines, path+"."+line)
+		}
+	}
+}
+
 // OrNil returns nil when nothing was recorded.
 func (p *Problems) OrNil() *Problems {
 	if len(p.lines) == 0 {
@@ -40,4 +53,11 @@
 	}
 }
 
+// between refuses NaN too, because every comparison with it is false.
+func between[T cmp.Ordered](p *Problems, field string, value, low, high T) {
+	if !(value >= low && value <= high) {
+		p.Add(field, "is %v, expected %v to %v", value, low, high)
+	}
+}
+
 func indexed(field string, i int) string { return fmt.Sprintf("%s[%d]", field, i) }
--- a/core/specifier/profile.go
+++ b/core/specifier/profile.go
@@ -16,3 +16,25 @@
 	LongShare    float64       `yaml:"LongShare"`    // share of a worker's slots that long tasks may hold; default 0.5
 	BreakerAfter int           `yaml:"BreakerAfter"` // consecutive failures that eject a worker; default 5
 }
+
+const (
+	maxQueueBound   = 1 << 20
+	maxRetryBudget  = 10
+	maxPriority     = 9
+	maxBreakerAfter = 1000
+)
+
+// Check returns every problem of the profile's fields, or nil.
+func (p Profile) Check() *Problems {
+	found := &Problems{}
+	found.name("Name", p.Name)
+	found.name("Service", p.Service)
+	between(found, "MaxTimeLeft", p.MaxTimeLeft, 0, MaxTimeLeft)
+	between(found, "TypicalTime", p.TypicalTime, 0, MaxTimeLeft)
+	between(found, "QueueBound", p.QueueBound, 0, maxQueueBound)
+	between(found, "RetryBudget", p.RetryBudget, 0, maxRetryBudget)
+	between(found, "Priority", p.Priority, 0, maxPriority)
+	between(found, "LongShare", p.LongShare, 0, 1)
+	between(found, "BreakerAfter", p.BreakerAfter, 0, maxBreakerAfter)
+	return found.OrNil()
+}
--- a/state/registrar/batch.go
+++ b/state/registrar/batch.go
@@ -1,15 +1,6 @@
 package registrar
 
-import (
-	"time"
+import "oleandertally/core/specifier"
 
-	"oleandertally/core/specifier"
-)
-
-// Batch is the content of one log entry. Advance is the time that passed on the leader's clock
-// since its previous batch: the sum of all advances is the log's own clock, on which
-// retention is counted, so that clocks of different hosts are never compared.
-type Batch struct {
-	Advance  time.Duration
-	Commands []specifier.Command
-}
+// Batch is the content of one log entry.
+type Batch = specifier.Batch
