--- a/core/encoder/decision.go
+++ b/core/encoder/decision.go
@@ -7,7 +7,7 @@
 	d.Answer.Results = nil
 	m := &Decision{Verdict: string(d.Verdict), Owner: EncodeIdentity(d.Owner), OwnerAddr: address(d.OwnerAddr),
 		OwnerDown: d.OwnerDown, Epoch: uint64(d.Epoch), Revision: uint64(d.Revision), Answer: EncodeAnswer(d.Answer),
-		Operator: d.Operator, Detail: clean(d.Detail, specifier.MaxReport), Leader: address(d.Leader)}
+		Operator: d.Operator, Detail: clean(d.Detail, specifier.MaxReport), Leader: address(d.Leader), MemberVersion: d.MemberVersion}
 	for _, id := range d.Departed {
 		m.Departed = append(m.Departed, EncodeIdentity(id))
 	}
@@ -28,16 +28,17 @@
 	decision := specifier.Decision{
 		Verdict: known(c, path+".Verdict", m.Verdict, specifier.Accepted, specifier.Attached, specifier.Finished,
 			specifier.Conflict, specifier.Stale, specifier.Fenced, specifier.Applied, specifier.Rejected, specifier.Full,
-			specifier.NotLeader),
-		Owner:     c.optionalIdentity(path+".Owner", m.Owner),
-		OwnerAddr: c.optionalAddr(path+".OwnerAddr", m.OwnerAddr),
-		OwnerDown: m.OwnerDown,
-		Epoch:     specifier.Epoch(m.Epoch),
-		Revision:  specifier.Revision(m.Revision),
-		Answer:    c.optionalAnswer(path+".Answer", m.Answer),
-		Operator:  c.text(path+".Operator", m.Operator, specifier.MaxName),
-		Detail:    c.text(path+".Detail", m.Detail, specifier.MaxReport),
-		Leader:    c.optionalAddr(path+".Leader", m.Leader),
+			specifier.NotLeader, specifier.Unknown),
+		Owner:         c.optionalIdentity(path+".Owner", m.Owner),
+		OwnerAddr:     c.optionalAddr(path+".OwnerAddr", m.OwnerAddr),
+		OwnerDown:     m.OwnerDown,
+		Epoch:         specifier.Epoch(m.Epoch),
+		Revision:      specifier.Revision(m.Revision),
+		Answer:        c.optionalAnswer(path+".Answer", m.Answer),
+		MemberVersion: m.MemberVersion,
+		Operator:      c.text(path+".Operator", m.Operator, specifier.MaxName),
+		Detail:        c.text(path+".Detail", m.Detail, specifier.MaxReport),
+		Leader:        c.optionalAddr(path+".Leader", m.Leader),
 	}
 	if c.length(path+".Departed", len(m.Departed), specifier.MaxDeparted) {
 		for i, id := range m.Departed {
