Add the sequencer of a controller

Cause: leases, group commit and the fan-out of changes need one owner beside the log. Change: a pure state machine that batches commands, answers them once committed, grants and ends leases, and sends members and configuration as deltas.

--- /dev/null
+++ b/controller/sequencer/action.go
@@ -0,0 +1,4 @@
+package sequencer
+
+// Action is something that the controller does.
+type Action interface{ action() }
--- /dev/null
+++ b/controller/sequencer/attendant.go
@@ -0,0 +1,12 @@
+package sequencer
+
+import "oleandertally/core/specifier"
+
+// attendant is a member with an open stream.
+type attendant struct {
+	member   specifier.Member
+	joined   bool // recorded in the replicated membership
+	renewals int  // presences not yet answered with a lease
+	revision specifier.Revision
+	version  uint64 // of the membership it has been sent
+}
--- /dev/null
+++ b/controller/sequencer/sequencer.go
@@ -0,0 +1,281 @@
+package sequencer
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/state/registrar"
+)
+
+const (
+	// maxInFlight is how many batches may be in the log and not committed; commands that come
+	// meanwhile share the next batch, and so its sync.
+	maxInFlight = 4
+	// maxWaiting bounds the commands that wait for a batch; more are refused as Full.
+	maxWaiting = 100_000
+	// maxChanges is how many changes of the membership are kept for updates; a member that is
+	// further behind gets the whole membership.
+	maxChanges = 4096
+)
+
+// Sequencer is the control state of a controller beside its log. Exported fields are set before
+// the first Step.
+type Sequencer struct {
+	Lease     time.Duration // of entries and agents
+	Leading   func(now time.Time) bool
+	Registrar *registrar.Registrar
+
+	leads     bool
+	leader    netip.AddrPort
+	ticket    Ticket
+	waiting   []request
+	submitted map[Ticket][]request
+	logged    map[uint64]loggedBatch
+	advanced  time.Time // when the last batch was stamped
+	attending map[Stream]*attendant
+	leases    map[specifier.Identity]time.Time
+	ending    map[specifier.Identity]bool // EndMember is on its way
+	changes   []change
+	complete  uint64 // changes holds every change after this version of the membership
+	out       []Action
+}
+
+// New returns a sequencer that does not lead.
+func New(lease time.Duration, state *registrar.Registrar, leading func(time.Time) bool) *Sequencer {
+	return &Sequencer{
+		Lease:     lease,
+		Leading:   leading,
+		Registrar: state,
+		submitted: make(map[Ticket][]request),
+		logged:    make(map[uint64]loggedBatch),
+		attending: make(map[Stream]*attendant),
+		leases:    make(map[specifier.Identity]time.Time),
+		ending:    make(map[specifier.Identity]bool),
+		complete:  state.MemberVersion(),
+	}
+}
+
+// Restored replaces the state by one from a snapshot.
+func (s *Sequencer) Restored(state *registrar.Registrar) {
+	s.Registrar = state
+	s.changes = nil
+	s.complete = state.MemberVersion()
+}
+
+// Step handles one event.
+func (s *Sequencer) Step(now time.Time, event Event) []Action {
+	s.out = nil
+	switch event := event.(type) {
+	case Proposed:
+		s.proposed(now, event)
+	case Attended:
+		s.attended(now, event)
+	case Closed:
+		delete(s.attending, event.Stream)
+	case Logged:
+		s.logged[event.Index] = loggedBatch{term: event.Term, requests: s.submitted[event.Ticket]}
+		delete(s.submitted, event.Ticket)
+	case Rejected:
+		s.rejected(event)
+	case Committed:
+		s.committed(now, event)
+	case Led:
+		s.led(now)
+	case Followed:
+		s.followed(event)
+	}
+	s.submit(now)
+	return s.out
+}
+
+// Expire ends the members whose leases are over.
+func (s *Sequencer) Expire(now time.Time) []Action {
+	s.out = nil
+	for _, id := range s.due(now) {
+		s.ending[id] = true
+		s.waiting = append(s.waiting, request{command: specifier.EndMember{Identity: id}})
+	}
+	s.submit(now)
+	return s.out
+}
+
+// Next returns when the next lease ends.
+func (s *Sequencer) Next() time.Time {
+	var next time.Time
+	if !s.leads {
+		return next
+	}
+	for id, until := range s.leases {
+		if !s.ending[id] && (next.IsZero() || until.Before(next)) {
+			next = until
+		}
+	}
+	return next
+}
+
+func (s *Sequencer) due(now time.Time) []specifier.Identity {
+	var due []specifier.Identity
+	if !s.leads {
+		return due
+	}
+	for id, until := range s.leases {
+		if !s.ending[id] && !until.After(now) {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b specifier.Identity) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return due
+}
+
+func (s *Sequencer) proposed(now time.Time, e Proposed) {
+	decide := func(d specifier.Decision) {
+		s.out = append(s.out, Decide{Stream: e.Stream, Sequence: e.Sequence, Decision: d})
+	}
+	switch {
+	case !s.leads:
+		decide(specifier.Decision{Verdict: specifier.NotLeader, Leader: s.leader})
+	case isLookup(e.Command) && s.Leading(now):
+		// A read under the leader's lease: every earlier decision is applied here, so it needs no log entry.
+		decide(s.Registrar.Read(e.Command.(specifier.LookupJob)))
+	case len(s.waiting) >= maxWaiting:
+		decide(specifier.Decision{Verdict: specifier.Full})
+	default:
+		s.waiting = append(s.waiting, request{stream: e.Stream, sequence: e.Sequence, command: e.Command})
+	}
+}
+
+func isLookup(command specifier.Command) bool {
+	_, ok := command.(specifier.LookupJob)
+	return ok
+}
+
+// submit gives the waiting commands to the log as one batch.
+func (s *Sequencer) submit(now time.Time) {
+	for s.leads && len(s.waiting) > 0 && len(s.submitted)+len(s.logged) < maxInFlight {
+		size := min(len(s.waiting), specifier.MaxBatch)
+		batch := specifier.Batch{Advance: max(now.Sub(s.advanced), 0)}
+		for _, request := range s.waiting[:size] {
+			batch.Commands = append(batch.Commands, request.command)
+		}
+		s.advanced = now
+		s.ticket++
+		s.submitted[s.ticket] = slices.Clone(s.waiting[:size])
+		s.waiting = slices.Delete(s.waiting, 0, size)
+		s.out = append(s.out, Submit{Ticket: s.ticket, Batch: batch})
+	}
+}
+
+func (s *Sequencer) rejected(e Rejected) {
+	for _, request := range s.submitted[e.Ticket] {
+		s.refuse(request, e.Verdict)
+	}
+	delete(s.submitted, e.Ticket)
+}
+
+func (s *Sequencer) refuse(r request, verdict specifier.Verdict) {
+	if end, ok := r.command.(specifier.EndMember); ok && r.stream == 0 {
+		delete(s.ending, end.Identity)
+	}
+	if r.stream != 0 && r.sequence != 0 {
+		s.out = append(s.out, Decide{Stream: r.stream, Sequence: r.sequence,
+			Decision: specifier.Decision{Verdict: verdict, Leader: s.leader}})
+	}
+}
+
+func (s *Sequencer) committed(now time.Time, e Committed) {
+	revision := s.Registrar.Configuration().Revision
+	version := s.Registrar.MemberVersion()
+	decisions := s.Registrar.Apply(e.Index, e.Batch)
+	s.noteChanges(version, e.Batch)
+	waiting, mine := s.logged[e.Index]
+	delete(s.logged, e.Index)
+	if mine && waiting.term == e.Term {
+		for i, request := range waiting.requests {
+			s.decided(now, request, decisions[i])
+		}
+	} else if mine {
+		for _, request := range waiting.requests {
+			s.refuse(request, specifier.NotLeader)
+		}
+	}
+	if s.leads && (s.Registrar.Configuration().Revision != revision || s.Registrar.MemberVersion() != version) {
+		s.pushAll()
+	}
+}
+
+// noteChanges remembers which members a batch may have changed.
+func (s *Sequencer) noteChanges(before uint64, batch specifier.Batch) {
+	if s.Registrar.MemberVersion() == before {
+		return
+	}
+	for _, command := range batch.Commands {
+		switch command := command.(type) {
+		case specifier.JoinMember:
+			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Member.Name})
+		case specifier.EndMember:
+			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Identity.Name})
+			delete(s.leases, command.Identity)
+			delete(s.ending, command.Identity)
+		case specifier.DrainMember:
+			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Name})
+		}
+	}
+	if extra := len(s.changes) - maxChanges; extra > 0 {
+		s.complete = s.changes[extra-1].version
+		s.changes = slices.Delete(s.changes, 0, extra)
+	}
+}
+
+func (s *Sequencer) decided(now time.Time, r request, d specifier.Decision) {
+	join, isJoin := r.command.(specifier.JoinMember)
+	switch {
+	case r.stream == 0:
+	case isJoin && r.sequence == 0:
+		s.joined(now, r.stream, join.Member, d)
+	default:
+		s.out = append(s.out, Decide{Stream: r.stream, Sequence: r.sequence, Decision: d})
+	}
+}
+
+func (s *Sequencer) led(now time.Time) {
+	s.leads = true
+	s.advanced = now
+	clear(s.leases)
+	clear(s.ending)
+	// The former leader's grants are not known here, so every member gets a full lease.
+	for _, member := range s.Registrar.Members() {
+		if member.State != specifier.Down {
+			s.leases[member.Identity] = now.Add(s.Lease)
+		}
+	}
+}
+
+// followed answers everything that waits: its outcome is unknown or it had none, and the
+// sender asks the new leader, since every command may be repeated.
+func (s *Sequencer) followed(e Followed) {
+	s.leads = false
+	s.leader = e.Leader
+	for _, ticket := range slices.Sorted(maps.Keys(s.submitted)) {
+		s.rejected(Rejected{Ticket: ticket, Verdict: specifier.NotLeader})
+	}
+	for _, index := range slices.Sorted(maps.Keys(s.logged)) {
+		for _, request := range s.logged[index].requests {
+			s.refuse(request, specifier.NotLeader)
+		}
+	}
+	clear(s.logged)
+	for _, request := range s.waiting {
+		s.refuse(request, specifier.NotLeader)
+	}
+	s.waiting = nil
+	for _, stream := range slices.Sorted(maps.Keys(s.attending)) {
+		s.out = append(s.out, Push{Stream: stream, Update: specifier.Update{NotLeader: true, Leader: e.Leader}})
+	}
+	clear(s.attending)
+}
--- /dev/null
+++ b/controller/sequencer/stream.go
@@ -0,0 +1,4 @@
+package sequencer
+
+// Stream identifies one open stream of an entry, an agent or an operator.
+type Stream uint64
--- /dev/null
+++ b/core/specifier/presence.go
@@ -0,0 +1,7 @@
+package specifier
+
+// Presence announces a member or renews its lease.
+type Presence struct {
+	Member   *Member // in the first message, and when it changes
+	Revision Revision
+}
--- a/state/registrar/members.go
+++ b/state/registrar/members.go
@@ -68,6 +68,12 @@
 // MemberVersion counts the changes of the membership.
 func (r *Registrar) MemberVersion() uint64 { return r.memberVersion }
 
+// Member returns the member of a name.
+func (r *Registrar) Member(name string) (specifier.Member, bool) {
+	member, ok := r.members[name]
+	return member, ok
+}
+
 // Members returns every member, by name.
 func (r *Registrar) Members() []specifier.Member {
 	members := make([]specifier.Member, 0, len(r.members))
--- a/state/registrar/submissions.go
+++ b/state/registrar/submissions.go
@@ -106,6 +106,14 @@
 	return r.finished(known)
 }
 
+// Read answers a lookup without a log entry. Only a leader under its lease may use it.
+func (r *Registrar) Read(command specifier.LookupJob) specifier.Decision {
+	decision := r.lookup(command)
+	decision.Revision = r.configuration.Revision
+	decision.MemberVersion = r.memberVersion
+	return decision
+}
+
 func (r *Registrar) lookup(c specifier.LookupJob) specifier.Decision {
 	known := r.submissions[c.Job]
 	switch {
