Add the events, actions and messages of the replicator

Change: one file for each event, action and message, and a Node without behaviour. A disk write is confirmed by its number instead of an index, because an index is written twice after a truncation and a late report would count for the wrong entry. Conclusion: it compiles and vet is clean; there is no behaviour yet.

--- /dev/null
+++ b/state/replicator/becameleader.go
@@ -0,0 +1,8 @@
+package replicator
+
+// BecameLeader says that this server leads and has applied every entry committed before its term.
+type BecameLeader struct {
+	Term Term
+}
+
+func (BecameLeader) action() {}
--- /dev/null
+++ b/state/replicator/index.go
@@ -0,0 +1,4 @@
+package replicator
+
+// Index is a position in the log, counted from 1.
+type Index uint64
--- /dev/null
+++ b/state/replicator/removeserver.go
@@ -0,0 +1,9 @@
+package replicator
+
+// RemoveServer removes a server. A leader that removes itself leads until the change is committed.
+type RemoveServer struct {
+	Ticket Ticket
+	ID     ServerID
+}
+
+func (RemoveServer) event() {}
--- /dev/null
+++ b/state/replicator/restore.go
@@ -0,0 +1,10 @@
+package replicator
+
+// Restore replaces the state and the whole stored log by a snapshot received from the leader. The next
+// entry appended is the one at Snapshot.Index+1.
+type Restore struct {
+	Write    Write
+	Snapshot Snapshot
+}
+
+func (Restore) action() {}
--- /dev/null
+++ b/state/replicator/ticket.go
@@ -0,0 +1,4 @@
+package replicator
+
+// Ticket is chosen by the adapter and ties a request to its Proposed or Refused.
+type Ticket uint64
