Add the consensus node and its random schedules

Cause: the controllers need a replicated log whose decisions can be tested without disks, networks or clocks. Change: elections with pre-vote and a leader lease, replication, commit by synced copies,

cluster in one goroutine that checks the safety rules after each step.

--- /dev/null
+++ b/state/replicator/disk.go
@@ -0,0 +1,109 @@
+package replicator
+
+import "github.com/cockroachdb/errors"
+
+func (n *Node) nextWrite() Write {
+	n.issued++
+	return n.issued
+}
+
+func (n *Node) persist() {
+	n.persisted = n.nextWrite()
+	n.emit(Persist{Write: n.persisted, State: n.state})
+}
+
+// appendEntries adds entries to the log in memory and on disk.
+func (n *Node) appendEntries(entries []Entry) {
+	n.log.append(entries...)
+	if n.members.add(entries) {
+		n.membersChanged()
+	}
+	write := n.nextWrite()
+	n.writes = append(n.writes, logWrite{write: write, last: n.log.last()})
+	n.emit(Append{Write: write, Entries: entries})
+}
+
+// truncate removes the entry at from and all later ones. Writes under way no longer count for them.
+func (n *Node) truncate(from Index) {
+	if from <= n.commit {
+		panic(errors.AssertionFailedf("log conflicts at index %d, committed up to %d", from, n.commit))
+	}
+	n.log.truncate(from)
+	if n.members.truncate(from) {
+		n.membersChanged()
+	}
+	n.synced = min(n.synced, from-1)
+	for i := range n.writes {
+		n.writes[i].last = min(n.writes[i].last, from-1)
+	}
+	n.emit(Truncate{Write: n.nextWrite(), From: from})
+}
+
+// restore replaces the whole log by a snapshot.
+func (n *Node) restore(snapshot Snapshot) {
+	n.log.reset(snapshot.Index, snapshot.Term)
+	n.members.reset(snapshot)
+	n.membersChanged()
+	n.snapshot, n.saving = snapshot, Snapshot{}
+	n.commit, n.applied = snapshot.Index, snapshot.Index
+	n.synced = 0
+	write := n.nextWrite()
+	n.writes = []logWrite{{write: write, last: snapshot.Index}}
+	n.emit(Restore{Write: write, Snapshot: snapshot})
+}
+
+// sync notes that the disk actions up to write are durable, and releases what waited for them.
+func (n *Node) sync(write Write) {
+	n.durable = max(n.durable, min(write, n.issued))
+	for len(n.writes) > 0 && n.writes[0].write <= n.durable {
+		n.synced = n.writes[0].last
+		n.writes = n.writes[1:]
+	}
+	for len(n.held) > 0 && n.held[0].write <= n.durable {
+		n.emit(Send{n.held[0].envelope})
+		n.held = n.held[1:]
+	}
+	if n.role == Candidate && n.persisted <= n.durable {
+		n.countVote(n.Self)
+	}
+}
+
+// apply hands over committed entries. A snapshot must not be ahead of the stored log, so once one is due,
+// nothing more is applied until the disk has caught up.
+func (n *Node) apply() {
+	limit := n.commit
+	if n.snapshotDue() {
+		limit = min(limit, max(n.synced, n.applied))
+	}
+	if limit > n.applied {
+		n.emit(Apply{Entries: n.log.slice(n.applied+1, limit)})
+		n.applied = limit
+	}
+}
+
+func (n *Node) snapshotDue() bool {
+	return n.saving.Index == 0 && n.applied >= n.snapshot.Index+Index(n.Settings.SnapshotEvery)
+}
+
+func (n *Node) saveSnapshot() {
+	if !n.snapshotDue() || n.synced < n.applied {
+		return
+	}
+	term, _ := n.log.term(n.applied)
+	n.saving = Snapshot{Index: n.applied, Term: term, Servers: n.members.at(n.applied)}
+	n.emit(SaveSnapshot{Snapshot: n.saving})
+}
+
+func (n *Node) snapshotSaved(index Index) {
+	if n.saving.Index == 0 || index != n.saving.Index {
+		return
+	}
+	n.snapshot, n.saving = n.saving, Snapshot{}
+	through := index - min(index, Index(n.Settings.KeepEntries))
+	if through <= n.log.base {
+		return
+	}
+	n.log.compact(through)
+	n.members.compact(through)
+	n.emit(Compact{Through: through})
+}
--- /dev/null
+++ b/state/replicator/election.go
@@ -0,0 +1,132 @@
+package replicator
+
+import "time"
+
+// resetElection puts the next campaign between one and two election timeouts away, so that two servers rarely
+// campaign together.
+func (n *Node) resetElection() {
+	timeout := n.Settings.ElectionTimeout
+	n.electionAt = n.now.Add(timeout + time.Duration(n.Random.Int64N(int64(timeout))))
+}
+
+// campaign begins with a pre-vote: a server that was cut off does not raise the term of the others.
+func (n *Node) campaign() {
+	n.resetElection()
+	if !n.members.current().votes(n.Self) {
+		return
+	}
+	n.role, n.leader = PreCandidate, ServerID{}
+	n.votes = make(map[ServerID]bool)
+	n.requestVotes(n.state.Term+1, RequestVote{PreVote: true}, n.broadcastNow)
+	n.countVote(n.Self)
+}
+
+// elect campaigns in a new term. Requests and the own vote wait until term and vote are durable.
+func (n *Node) elect(transfer bool) {
+	n.resetElection()
+	n.becomeTerm(HardState{Term: n.state.Term + 1, Vote: n.Self})
+	n.role = Candidate
+	n.votes = make(map[ServerID]bool)
+	n.requestVotes(n.state.Term, RequestVote{Transfer: transfer}, n.reply)
+}
+
+func (n *Node) broadcastNow(to ServerID, term Term, message Message) {
+	n.emit(Send{Envelope{From: n.Self, To: to, Term: term, Message: message}})
+}
+
+func (n *Node) requestVotes(term Term, request RequestVote, send func(ServerID, Term, Message)) {
+	request.LastIndex, request.LastTerm = n.log.last(), n.log.lastTerm()
+	for _, id := range n.members.current().voters() {
+		if id != n.Self {
+			send(id, term, request)
+		}
+	}
+}
+
+// becomeTerm enters a new term as a follower without a leader.
+func (n *Node) becomeTerm(state HardState) {
+	n.stepDown(ServerID{})
+	n.state = state
+	n.verified, n.acknowledged, n.round = 0, 0, 0
+	n.persist()
+}
+
+// stepDown ends any leadership or campaign within the term.
+func (n *Node) stepDown(leader ServerID) {
+	if n.lead != nil {
+		for _, each := range n.lead.pending {
+			n.emit(Refused{Ticket: each.ticket, Reason: NotLeader, Leader: leader})
+		}
+		n.lead = nil
+		n.resetElection()
+	}
+	n.role, n.leader, n.votes = Follower, leader, nil
+}
+
+// bound reports whether a leader may rely on this server not to vote for another.
+func (n *Node) bound() bool {
+	return n.role == Leader || n.now.Before(n.heard.Add(n.Settings.ElectionTimeout))
+}
+
+func (n *Node) receiveRequestVote(from ServerID, term Term, request RequestVote) {
+	if n.bound() && !request.Transfer {
+		return
+	}
+	if request.PreVote {
+		granted := term > n.state.Term && n.upToDate(request)
+		if !granted {
+			term = n.state.Term
+		}
+		n.reply(from, term, VoteReply{PreVote: true, Granted: granted})
+		return
+	}
+	vote := n.state.Vote
+	if term > n.state.Term {
+		vote = ServerID{}
+	}
+	granted := term >= n.state.Term && (vote.IsZero() || vote == from) && n.upToDate(request)
+	if granted {
+		vote = from
+		n.resetElection()
+	}
+	switch {
+	case term > n.state.Term:
+		n.becomeTerm(HardState{Term: term, Vote: vote})
+	case term == n.state.Term && vote != n.state.Vote:
+		n.state.Vote = vote
+		n.persist()
+	}
+	n.reply(from, n.state.Term, VoteReply{Granted: granted})
+}
+
+// upToDate reports whether the candidate's log contains every entry that this one may have helped to commit.
+func (n *Node) upToDate(request RequestVote) bool {
+	last := n.log.lastTerm()
+	return request.LastTerm > last || request.LastTerm == last && request.LastIndex >= n.log.last()
+}
+
+func (n *Node) receiveVoteReply(from ServerID, term Term, reply VoteReply) {
+	switch {
+	case !reply.Granted:
+	case reply.PreVote && n.role == PreCandidate && term == n.state.Term+1,
+		!reply.PreVote && n.role == Candidate && term == n.state.Term:
+		n.countVote(from)
+	}
+}
+
+func (n *Node) countVote(id ServerID) {
+	n.votes[id] = true
+	voters, granted := n.members.current().voters(), 0
+	for _, voter := range voters {
+		if n.votes[voter] {
+			granted++
+		}
+	}
+	switch {
+	case granted <= len(voters)/2:
+	case n.role == PreCandidate:
+		n.elect(false)
+	case n.role == Candidate:
+		n.becomeLeader()
+	}
+}
--- /dev/null
+++ b/state/replicator/handover.go
@@ -0,0 +1,50 @@
+package replicator
+
+func (n *Node) startTransfer(event Transfer) {
+	reason, target := n.refusal(), event.To
+	if reason == "" {
+		if target.IsZero() {
+			target = n.best()
+		}
+		if target == n.Self || !n.members.current().votes(target) {
+			reason = UnknownServer
+		}
+	}
+	if reason != "" {
+		n.refuse(event.Ticket, reason)
+		return
+	}
+	n.lead.target, n.lead.transferEnd = target, n.now.Add(n.Settings.ElectionTimeout)
+}
+
+// best returns the other voter that holds most of the log, or zero when there is none.
+func (n *Node) best() ServerID {
+	var best *peer
+	for _, peer := range n.lead.peers {
+		if n.members.current().votes(peer.id) && (best == nil || peer.match > best.match) {
+			best = peer
+		}
+	}
+	if best == nil {
+		return ServerID{}
+	}
+	return best.id
+}
+
+func (n *Node) continueTransfer() {
+	if n.lead.transferEnd.IsZero() || len(n.lead.pending) > 0 {
+		return
+	}
+	if peer := n.lead.peer(n.lead.target); peer != nil && peer.match == n.log.last() {
+		n.handOver(peer.id)
+	}
+}
+
+// handOver gives up the lease for good before it tells the target to campaign: a delayed TimeoutNow must not
+// elect a second leader while this one answers.
+func (n *Node) handOver(target ServerID) {
+	if !target.IsZero() {
+		n.send(target, TimeoutNow{})
+	}
+	n.stepDown(ServerID{})
+}
--- /dev/null
+++ b/state/replicator/lead.go
@@ -0,0 +1,192 @@
+package replicator
+
+import (
+	"cmp"
+	"time"
+)
+
+// becomeLeader appends a blank entry: entries of earlier terms are committed only together with one of this term.
+func (n *Node) becomeLeader() {
+	n.role, n.leader, n.votes = Leader, n.Self, nil
+	n.lead = &leadership{since: n.now, first: n.log.last() + 1}
+	n.lead.rounds.begin(n.now, n.now)
+	n.lead.heartbeatAt = n.now.Add(n.Settings.Heartbeat)
+	n.lead.setServers(n.members.current().servers, n.Self, n.log.last()+1)
+	n.appendEntries([]Entry{{Index: n.log.last() + 1, Term: n.state.Term, Kind: Blank}})
+}
+
+// ready reports whether this server leads and has applied an entry of its term, and with it all earlier ones.
+func (n *Node) ready() bool { return n.role == Leader && n.applied >= n.lead.first }
+
+// contact returns the start of the newest round that a majority acknowledged.
+func (n *Node) contact(now time.Time) time.Time {
+	var times []time.Time
+	for _, id := range n.members.current().voters() {
+		if id == n.Self {
+			times = append(times, now)
+		} else if peer := n.lead.peer(id); peer != nil {
+			times = append(times, peer.acked)
+		}
+	}
+	return majority(times, time.Time.Compare)
+}
+
+// leaseEnd is measured from when the acknowledged messages were sent. Each server that acknowledged one
+// votes for nobody else for an election timeout from its arrival, which is longer and begins later.
+func (n *Node) leaseEnd(now time.Time) time.Time { return n.contact(now).Add(n.Settings.Lease) }
+
+// quorumEnd is when a leader that hears from no majority gives up.
+func (n *Node) quorumEnd() time.Time {
+	contact := n.contact(n.now)
+	if contact.Before(n.lead.since) {
+		contact = n.lead.since
+	}
+	return contact.Add(n.Settings.ElectionTimeout)
+}
+
+func (n *Node) nextLeader() time.Time {
+	next := n.lead.heartbeatAt
+	for _, deadline := range []time.Time{n.quorumEnd(), n.lead.transferEnd} {
+		if !deadline.IsZero() && deadline.Before(next) {
+			next = deadline
+		}
+	}
+	return next
+}
+
+func (n *Node) expireLeader() {
+	if !n.quorumEnd().After(n.now) {
+		n.stepDown(ServerID{})
+		return
+	}
+	if end := n.lead.transferEnd; !end.IsZero() && !end.After(n.now) {
+		n.lead.transferEnd = time.Time{}
+	}
+	if n.lead.heartbeatAt.After(n.now) {
+		return
+	}
+	n.lead.heartbeatAt = n.now.Add(n.Settings.Heartbeat)
+	n.lead.rounds.begin(n.now, n.now.Add(-n.Settings.ElectionTimeout))
+	for _, peer := range n.lead.peers {
+		n.heartbeat(peer)
+	}
+}
+
+// heartbeat sends an empty message. While streaming it names the last entry sent, so that the loss of that entry
+// is noticed although nothing follows it.
+func (n *Node) heartbeat(peer *peer) {
+	peer.paused = false
+	prev := peer.next - 1
+	term, held := n.log.term(prev)
+	switch {
+	case peer.state == probing && held:
+		return // replicate sends a probe
+	case peer.state == snapshotting || !held:
+		prev, term = 0, 0
+	}
+	n.sendEntries(peer, prev, term, nil)
+}
+
+func (n *Node) sendEntries(peer *peer, prev Index, term Term, entries []Entry) {
+	n.send(peer.id, AppendEntries{Round: n.lead.rounds.current(), PrevIndex: prev, PrevTerm: term,
+		Commit: n.commit, Entries: entries})
+}
+
+// replicate sends each peer what it lacks, within the limits of messages in flight.
+func (n *Node) replicate() {
+	for _, peer := range n.lead.peers {
+		for n.replicateTo(peer) {
+		}
+	}
+}
+
+// replicateTo sends one message and reports whether it sent one that more may follow.
+func (n *Node) replicateTo(peer *peer) bool {
+	if peer.state == snapshotting || peer.state == probing && peer.paused {
+		return false
+	}
+	term, held := n.log.term(peer.next - 1)
+	if !held {
+		n.sendSnapshot(peer)
+		return false
+	}
+	if peer.state == probing {
+		// A probe is empty: it is repeated with every heartbeat for as long as the peer is away.
+		peer.paused = true
+		n.sendEntries(peer, peer.next-1, term, nil)
+		return false
+	}
+	if peer.next > n.log.last() || len(peer.inflight) >= n.Settings.MaxInflight {
+		return false
+	}
+	entries := n.log.batch(peer.next, n.Settings.MaxAppend)
+	n.sendEntries(peer, peer.next-1, term, entries)
+	peer.next += Index(len(entries))
+	peer.inflight = append(peer.inflight, peer.next-1)
+	return true
+}
+
+func (n *Node) sendSnapshot(peer *peer) {
+	peer.state, peer.inflight, peer.snapshot = snapshotting, nil, n.snapshot.Index
+	message := InstallSnapshot{Round: n.lead.rounds.current(), Snapshot: n.snapshot}
+	envelope := Envelope{From: n.Self, To: peer.id, Term: n.state.Term, Message: message}
+	n.emit(SendSnapshot{Envelope: envelope, Snapshot: n.snapshot})
+}
+
+// snapshotSent continues after the snapshot. After a failure the peer waits for the next heartbeat.
+func (n *Node) snapshotSent(event SnapshotSent) {
+	if n.role != Leader {
+		return
+	}
+	peer := n.lead.peer(event.To)
+	if peer == nil || peer.state != snapshotting || peer.snapshot != event.Index {
+		return
+	}
+	if event.Failed {
+		peer.probe(peer.match + 1)
+		peer.paused = true
+		return
+	}
+	peer.probe(event.Index + 1)
+}
+
+func (n *Node) receiveAppendReply(from ServerID, reply AppendReply) {
+	peer := n.lead.peer(from)
+	if peer == nil || reply.Match > n.log.last() {
+		return
+	}
+	if sent := n.lead.rounds.sent(reply.Round); sent.After(peer.acked) {
+		peer.acked = sent
+	}
+	if !reply.Rejected {
+		peer.acknowledge(reply.Match)
+		return
+	}
+	peer.match = max(peer.match, reply.Match)
+	current := peer.state == streaming && reply.PrevIndex > peer.match ||
+		peer.state == probing && reply.PrevIndex == peer.next-1
+	if current {
+		peer.probe(n.log.agreement(reply.Hint, reply.HintTerm) + 1)
+	}
+}
+
+// advanceCommit commits what a majority of voters holds on disk, this server's own copy included only once it is synced.
+func (n *Node) advanceCommit() {
+	var matches []Index
+	for _, id := range n.members.current().voters() {
+		if id == n.Self {
+			matches = append(matches, n.synced)
+		} else if peer := n.lead.peer(id); peer != nil {
+			matches = append(matches, peer.match)
+		}
+	}
+	index := majority(matches, cmp.Compare[Index])
+	if term, held := n.log.term(index); index <= n.commit || !held || term != n.state.Term {
+		return
+	}
+	for _, entry := range n.log.slice(n.commit+1, index) {
+		n.lead.waiting -= len(entry.Data)
+	}
+	n.lead.waiting = max(n.lead.waiting, 0)
+	n.commit = index
+}
--- /dev/null
+++ b/state/replicator/logwrite.go
@@ -0,0 +1,7 @@
+package replicator
+
+// logWrite is a disk write under way, after which the stored log ends at last.
+type logWrite struct {
+	write Write
+	last  Index
+}
--- /dev/null
+++ b/state/replicator/membership.go
@@ -0,0 +1,48 @@
+package replicator
+
+import "slices"
+
+// membership is a list of servers and the index of the entry that set it.
+type membership struct {
+	index   Index
+	servers []Server
+}
+
+// find returns the server with the identity id.
+func (m membership) find(id ServerID) (Server, bool) {
+	for _, server := range m.servers {
+		if server.ID == id {
+			return server, true
+		}
+	}
+	return Server{}, false
+}
+
+// votes reports whether id is a voter.
+func (m membership) votes(id ServerID) bool {
+	server, known := m.find(id)
+	return known && server.Voter
+}
+
+// voters returns the identities that count toward majorities.
+func (m membership) voters() []ServerID {
+	var ids []ServerID
+	for _, server := range m.servers {
+		if server.Voter {
+			ids = append(ids, server.ID)
+		}
+	}
+	return ids
+}
+
+// with returns a list in which server replaces the one of the same identity or is added.
+func (m membership) with(server Server) []Server {
+	servers := append(m.without(server.ID), server)
+	slices.SortFunc(servers, func(a, b Server) int { return a.ID.Compare(b.ID) })
+	return servers
+}
+
+// without returns a list without id.
+func (m membership) without(id ServerID) []Server {
+	return slices.DeleteFunc(slices.Clone(m.servers), func(each Server) bool { return each.ID == id })
+}
--- /dev/null
+++ b/state/replicator/receive.go
@@ -0,0 +1,132 @@
+package replicator
+
+// receive handles a message. A newer term makes this server a follower, except for a request for a vote,
+// which receiveRequestVote may ignore, and a pre-vote, whose term nobody has entered.
+func (n *Node) receive(envelope Envelope) {
+	if envelope.To != n.Self || !envelope.valid() {
+		return
+	}
+	from, term := envelope.From, envelope.Term
+	switch message := envelope.Message.(type) {
+	case RequestVote:
+		n.receiveRequestVote(from, term, message)
+	case VoteReply:
+		if !message.PreVote || !message.Granted {
+			n.adoptTerm(term)
+		}
+		n.receiveVoteReply(from, term, message)
+	case AppendEntries:
+		if n.follow(from, term) {
+			n.receiveAppend(from, message)
+		}
+	case InstallSnapshot:
+		if n.follow(from, term) {
+			n.receiveSnapshot(from, message)
+		}
+	case AppendReply:
+		n.adoptTerm(term)
+		if n.role == Leader && term == n.state.Term {
+			n.receiveAppendReply(from, message)
+		}
+	case TimeoutNow:
+		// The sender led this term and no longer does, so its lease does not stand in the way of a vote.
+		if term == n.state.Term && n.role != Leader && n.role != Candidate && n.members.current().votes(n.Self) {
+			n.elect(true)
+		}
+	}
+}
+
+func (n *Node) adoptTerm(term Term) {
+	if term > n.state.Term {
+		n.becomeTerm(HardState{Term: term})
+	}
+}
+
+// follow accepts from as the leader of term, or tells it of a newer term.
+func (n *Node) follow(from ServerID, term Term) bool {
+	if term < n.state.Term {
+		n.reply(from, n.state.Term, AppendReply{Rejected: true})
+		return false
+	}
+	n.adoptTerm(term)
+	if n.role == Leader {
+		return false
+	}
+	if n.role != Follower || n.leader != from {
+		n.stepDown(from)
+	}
+	n.heard = n.now
+	n.resetElection()
+	return true
+}
+
+func (n *Node) receiveAppend(from ServerID, message AppendEntries) {
+	n.round = max(n.round, message.Round)
+	prev, prevTerm, entries := message.PrevIndex, message.PrevTerm, message.Entries
+	if prev < n.log.base {
+		// What the log no longer holds is committed and equal in every leader's log.
+		covered := min(int(n.log.base-prev), len(entries))
+		prev, entries = prev+Index(covered), entries[covered:]
+		prevTerm, _ = n.log.term(prev)
+	}
+	if own, held := n.log.term(prev); prev >= n.log.base && (!held || own != prevTerm) {
+		n.reject(from, message)
+		return
+	}
+	last := prev + Index(len(entries))
+	n.store(entries)
+	n.verified = max(n.verified, last)
+	n.commit = max(n.commit, min(message.Commit, n.verified))
+	if len(message.Entries) == 0 || n.synced >= last {
+		n.sendAck()
+	}
+}
+
+// store appends the entries that the log does not hold, and first removes what conflicts with them.
+func (n *Node) store(entries []Entry) {
+	for i, entry := range entries {
+		own, held := n.log.term(entry.Index)
+		if held && own == entry.Term {
+			continue
+		}
+		if held {
+			n.truncate(entry.Index)
+		}
+		n.appendEntries(entries[i:])
+		return
+	}
+}
+
+func (n *Node) reject(from ServerID, message AppendEntries) {
+	hint := n.log.agreement(message.PrevIndex-1, message.PrevTerm)
+	term, _ := n.log.term(hint)
+	n.reply(from, n.state.Term, AppendReply{Round: n.round, Match: min(n.synced, n.verified), Rejected: true,
+		PrevIndex: message.PrevIndex, Hint: hint, HintTerm: term})
+}
+
+func (n *Node) receiveSnapshot(from ServerID, message InstallSnapshot) {
+	n.round = max(n.round, message.Round)
+	snapshot := message.Snapshot
+	if term, held := n.log.term(snapshot.Index); snapshot.Index > n.commit {
+		if held && term == snapshot.Term {
+			n.commit = snapshot.Index
+		} else {
+			n.restore(snapshot)
+		}
+	}
+	n.verified = max(n.verified, snapshot.Index)
+	n.sendAck()
+}
+
+// sendAck tells the leader what is both synced and equal to its log.
+func (n *Node) sendAck() {
+	n.acknowledged = min(n.synced, n.verified)
+	n.reply(n.leader, n.state.Term, AppendReply{Round: n.round, Match: n.acknowledged})
+}
+
+// acknowledge reports entries that became durable since the last report; one report covers all of a sync.
+func (n *Node) acknowledge() {
+	if n.role == Follower && !n.leader.IsZero() && min(n.synced, n.verified) > n.acknowledged {
+		n.sendAck()
+	}
+}
--- /dev/null
+++ b/state/replicator/request.go
@@ -0,0 +1,50 @@
+package replicator
+
+// refusal returns why the server takes no request now, or "".
+func (n *Node) refusal() Reason {
+	switch {
+	case n.role != Leader:
+		return NotLeader
+	case !n.Leading(n.now):
+		return NotReady
+	case !n.lead.transferEnd.IsZero():
+		return Transferring
+	}
+	return ""
+}
+
+func (n *Node) refuse(ticket Ticket, reason Reason) {
+	n.emit(Refused{Ticket: ticket, Reason: reason, Leader: n.leader})
+}
+
+func (n *Node) propose(event Propose) {
+	reason := n.refusal()
+	switch {
+	case reason != "":
+	case len(event.Data) > n.Settings.MaxEntry:
+		reason = TooLarge
+	case n.lead.waiting+len(event.Data) > n.Settings.MaxPending:
+		reason = Full
+	}
+	if reason != "" {
+		n.refuse(event.Ticket, reason)
+		return
+	}
+	n.lead.waiting += len(event.Data)
+	n.lead.pending = append(n.lead.pending, proposal{ticket: event.Ticket, data: event.Data})
+}
+
+// flush appends all proposals that arrived while the previous append was being synced, so that many share one write.
+func (n *Node) flush() {
+	if len(n.lead.pending) == 0 || n.synced < n.log.last() {
+		return
+	}
+	entries := make([]Entry, 0, len(n.lead.pending))
+	for i, each := range n.lead.pending {
+		index := n.log.last() + 1 + Index(i)
+		entries = append(entries, Entry{Index: index, Term: n.state.Term, Kind: Data, Data: each.data})
+		n.emit(Proposed{Ticket: each.ticket, Index: index, Term: n.state.Term})
+	}
+	n.lead.pending = nil
+	n.appendEntries(entries)
+}
--- /dev/null
+++ b/state/replicator/rules_test.go
@@ -0,0 +1,171 @@
+package replicator
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// position is one entry of some server's log.
+type position struct {
+	index Index
+	term  Term
+}
+
+// content is what a position must hold in every log that has it.
+type content struct {
+	before Term
+	kind   EntryKind
+	value  uint64
+}
+
+// rules holds what the checks remember of a run. The names of the rules appear in the errors.
+type rules struct {
+	leaders map[Term]ServerID
+	logged  map[position]content
+	history []Term   // of each committed entry
+	digests []uint64 // of the state after each applied entry
+}
+
+func newRules() *rules {
+	return &rules{leaders: make(map[Term]ServerID), logged: make(map[position]content), history: []Term{0}, digests: []uint64{0}}
+}
+
+// observe checks one server after a step that returned actions.
+func (r *rules) observe(h *host, hosts []*host, now time.Time, actions []Action) error {
+	for _, action := range actions {
+		if appended, ok := action.(Append); ok {
+			if err := r.matches(h, appended.Entries); err != nil {
+				return err
+			}
+		}
+	}
+	if h.node.role == Leader {
+		if err := r.elected(h); err != nil {
+			return err
+		}
+	}
+	if err := r.committed(h, hosts); err != nil {
+		return err
+	}
+	h.led, h.voters = h.node.role == Leader, h.node.members.current().voters()
+	return r.leases(hosts, now)
+}
+
+// matches: an entry with the same index and term is the same in all logs, and so is the one before it.
+func (r *rules) matches(h *host, entries []Entry) error {
+	before, _ := h.node.log.term(entries[0].Index - 1)
+	for _, entry := range entries {
+		key, got := position{entry.Index, entry.Term}, content{before, entry.Kind, value(entry)}
+		if first, known := r.logged[key]; known && first != got {
+			return fmt.Errorf("log matching: %v holds %+v at %+v, another log holds %+v", h.id, got, key, first)
+		}
+		r.logged[key], before = got, entry.Term
+	}
+	return nil
+}
+
+// elected: a term has one leader, whose log contains every committed entry.
+func (r *rules) elected(h *host) error {
+	term, log := h.node.state.Term, &h.node.log
+	if leader, known := r.leaders[term]; known {
+		if leader != h.id {
+			return fmt.Errorf("leader safety: term %d has leaders %v and %v", term, leader, h.id)
+		}
+		return nil
+	}
+	r.leaders[term] = h.id
+	for index := log.base; int(index) < len(r.history); index++ {
+		if own, held := log.term(index); !held || own != r.history[index] {
+			return fmt.Errorf("leader completeness: %v leads term %d without committed entry %d", h.id, term, index)
+		}
+	}
+	return nil
+}
+
+// committed: a leader commits what a majority of voters holds on disk; nobody commits anything else. A leader
+// may commit and then give up the lead, or change the voters, within the same step.
+func (r *rules) committed(h *host, hosts []*host) error {
+	leads := h.led || h.node.role == Leader
+	for index := h.checked + 1; index <= h.node.commit; index++ {
+		term, held := h.node.log.term(index)
+		known := int(index) < len(r.history)
+		switch {
+		case known && held && r.history[index] != term:
+			return fmt.Errorf("committed entry lost: %v commits term %d at %d, before it was term %d", h.id, term, index, r.history[index])
+		case !known && !leads:
+			return fmt.Errorf("commit: %v commits %d, which no leader committed", h.id, index)
+		case !known:
+			r.history = append(r.history, term)
+		}
+	}
+	if leads && h.node.commit > h.checked {
+		before, after := h.voters, h.node.members.current().voters()
+		if !r.durable(h, hosts, before) && !r.durable(h, hosts, after) {
+			return fmt.Errorf("durable majority: %v commits %d without synced copies on most of %v", h.id, h.node.commit, after)
+		}
+	}
+	h.checked = max(h.checked, h.node.commit)
+	return nil
+}
+
+func (r *rules) durable(h *host, hosts []*host, voters []ServerID) bool {
+	term, _ := h.node.log.term(h.node.commit)
+	copies := 0
+	for _, other := range hosts {
+		if slices.Contains(voters, other.id) && other.disk.holds(h.node.commit, term) {
+			copies++
+		}
+	}
+	return copies > len(voters)/2
+}
+
+// leases: while a server may answer as leader, no other may, and none leads a later term.
+func (r *rules) leases(hosts []*host, now time.Time) error {
+	for _, h := range hosts {
+		if !h.up || !h.node.Leading(h.clock(now)) {
+			continue
+		}
+		for _, other := range hosts {
+			if other != h && other.up && other.node.role == Leader && other.node.state.Term > h.node.state.Term {
+				return fmt.Errorf("lease: %v may answer in term %d while %v leads term %d", h.id, h.node.state.Term,
+					other.id, other.node.state.Term)
+			}
+		}
+	}
+	return nil
+}
+
+// apply: every server applies the same sequence, without gaps, and only what is committed.
+func (r *rules) apply(h *host, entries []Entry) error {
+	for _, entry := range entries {
+		if entry.Index != h.applied+1 || int(entry.Index) >= len(r.history) {
+			return fmt.Errorf("applied sequence: %v applies %d after %d, committed %d", h.id, entry.Index, h.applied, len(r.history)-1)
+		}
+		h.applied++
+		h.digest = (h.digest ^ value(entry) ^ uint64(entry.Term)<<48) * 0x9E3779B97F4A7C15
+		if int(h.applied) == len(r.digests) {
+			r.digests = append(r.digests, h.digest)
+		}
+		if err := r.restored(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restored: the state of a server equals that of the others at the same index.
+func (r *rules) restored(h *host) error {
+	if int(h.applied) >= len(r.digests) || r.digests[h.applied] != h.digest {
+		return fmt.Errorf("applied sequence: the state of %v at %d differs from the first one", h.id, h.applied)
+	}
+	return nil
+}
+
+func value(entry Entry) uint64 {
+	if entry.Kind == Data {
+		return binary.BigEndian.Uint64(entry.Data)
+	}
+	return uint64(entry.Kind)<<32 + uint64(len(entry.Servers))
+}
--- /dev/null
+++ b/state/replicator/schedule_test.go
@@ -0,0 +1,189 @@
+package replicator
+
+import (
+	"fmt"
+	"time"
+)
+
+// schedule is a run of random steps. pick returns a number from 0 to n-1 and decides everything.
+type schedule struct {
+	*cluster
+	pick func(n int) int
+}
+
+// runSchedule takes steps random steps and then lets the cluster recover. It returns the first broken rule.
+func runSchedule(pick func(n int) int, steps int) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("panic: %v", fault)
+		}
+	}()
+	s := &schedule{cluster: newCluster(1+2*pick(3), uint64(pick(1<<30)), testSettings()), pick: pick}
+	s.run(5*time.Second, func() bool { return s.leading() != nil })
+	for range steps {
+		s.random()
+		if s.err != nil {
+			return s.err
+		}
+	}
+	s.recover()
+	return s.err
+}
+
+func (s *schedule) random() {
+	h := s.hosts[s.pick(len(s.hosts))]
+	switch kind := s.pick(100); {
+	case kind < 34:
+		s.network(s.pick(12))
+	case kind < 56:
+		if h.up && len(h.disk.queue) > 0 {
+			s.sync(h, 1+s.pick(len(h.disk.queue)))
+		}
+	case kind < 74:
+		s.advance(time.Duration(1+s.pick(150)) * time.Millisecond)
+	case kind < 84:
+		s.proposeSome()
+	case kind < 87:
+		s.saveSnapshot(h)
+	case kind < 92:
+		s.restart(h)
+	case kind < 96:
+		s.partition(h, s.pick(4))
+	default:
+		s.change(h, s.pick(6))
+	}
+}
+
+// network delivers any packet, and sometimes loses it or delivers it twice.
+func (s *schedule) network(kind int) {
+	if len(s.packets) == 0 {
+		return
+	}
+	switch i := s.pick(len(s.packets)); kind {
+	case 0:
+		if p := s.take(i); p.content != nil {
+			s.step(s.host(p.envelope.From), SnapshotSent{To: p.envelope.To, Failed: true,
+				Index: p.envelope.Message.(InstallSnapshot).Snapshot.Index})
+		}
+	case 1:
+		s.deliver(s.packets[i])
+	default:
+		// Most packets arrive soon after they were sent; the rest stays for later.
+		for n := min(4, len(s.packets)-i); n > 0 && i < len(s.packets); n-- {
+			s.deliver(s.take(i))
+		}
+	}
+}
+
+func (s *schedule) proposeSome() {
+	h := s.leading()
+	if h == nil || s.pick(8) == 0 {
+		h = s.hosts[s.pick(len(s.hosts))]
+	}
+	for range 1 + s.pick(4) {
+		s.propose(h)
+	}
+}
+
+func (s *schedule) restart(h *host) {
+	switch {
+	case h.lost:
+	case h.up:
+		s.crash(h, s.pick(len(h.disk.queue)+1))
+	default:
+		s.start(h)
+	}
+}
+
+func (s *schedule) partition(h *host, kind int) {
+	other := s.hosts[s.pick(len(s.hosts))]
+	switch kind {
+	case 0:
+		s.isolate(h)
+	case 1:
+		s.blocked[[2]ServerID{h.id, other.id}] = true
+	default:
+		s.heal()
+	}
+}
+
+func (s *schedule) change(h *host, kind int) {
+	leader := s.leading()
+	if leader == nil {
+		return
+	}
+	switch {
+	case kind < 2:
+		s.step(leader, Transfer{})
+	case kind == 2 && len(leader.node.Servers()) > 3:
+		s.step(leader, RemoveServer{ID: h.id})
+	case kind == 3 && len(s.hosts) < 9:
+		s.step(leader, AddServer{Server: Server{ID: s.addHost("n").id, Addr: noAddr}})
+	case kind == 4:
+		s.loseDisk(leader, h)
+	case kind == 5:
+		s.replaceLost(leader)
+	}
+}
+
+// loseDisk destroys a disk if the members are settled and no other one is missing: more than that, no
+// replication with three copies survives.
+func (s *schedule) loseDisk(leader, h *host) {
+	if h.lost || len(s.hosts) >= 9 || leader.node.changing() || len(leader.node.members.current().voters()) < 3 ||
+		s.lostVoter(leader) != nil {
+		return
+	}
+	s.crash(h, 0)
+	h.lost = true
+}
+
+func (s *schedule) lostVoter(leader *host) *host {
+	for _, server := range leader.node.Servers() {
+		if h := s.host(server.ID); h.lost {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *schedule) replaceLost(leader *host) {
+	if lost := s.lostVoter(leader); lost != nil && !leader.node.changing() && len(s.hosts) < 12 {
+		added := s.addHost(lost.id.Name)
+		s.step(leader, AddServer{Server: Server{ID: added.id, Replaces: lost.id}})
+	}
+}
+
+// recover ends all faults. A cluster whose majority survives then commits a new entry everywhere.
+func (s *schedule) recover() {
+	s.heal()
+	for _, h := range s.hosts {
+		if !h.up && !h.lost {
+			s.start(h)
+		}
+	}
+	before := s.proposed
+	done := s.run(30*time.Second, func() bool {
+		leader := s.leading()
+		if leader == nil {
+			return false
+		}
+		if s.proposed < before+3 {
+			s.propose(leader)
+			return false
+		}
+		return s.equal(leader)
+	})
+	if !done && s.err == nil {
+		s.fail("progress: no new entry is applied everywhere within 30 s after the last fault")
+	}
+}
+
+// equal reports whether every member that has its disk applied the leader's whole log.
+func (s *schedule) equal(leader *host) bool {
+	for _, server := range leader.node.Servers() {
+		if h := s.host(server.ID); !h.lost && (h.applied != leader.node.log.last() || h.digest != leader.digest) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/state/replicator/start.go
@@ -0,0 +1,56 @@
+package replicator
+
+import "slices"
+
+// start takes over what the data folder held. It counts as contact with a leader: before the restart this server may have
+// acknowledged one, whose lease relies on no vote for another within an election timeout.
+func (n *Node) start() {
+	n.started = true
+	n.state = n.Recovered.State
+	n.heard = n.now
+	n.resetElection()
+	n.snapshot = n.Recovered.Snapshot
+	n.commit, n.applied = n.snapshot.Index, n.snapshot.Index
+	n.log.reset(n.snapshot.Index, n.snapshot.Term)
+	if n.snapshot.Index > 0 {
+		n.members.reset(n.snapshot)
+	}
+	n.recoverEntries()
+	n.Recovered = Recovered{}
+	n.synced = n.log.last()
+	if last := n.log.lastTerm(); last > n.state.Term {
+		// The log was stored and the term was not, so no vote in that term left this server.
+		n.state = HardState{Term: last}
+		n.persist()
+	}
+}
+
+// recoverEntries takes the entries after the snapshot. When the stored log does not contain the
+// snapshot's position, a crash interrupted a Restore, and it is done again.
+func (n *Node) recoverEntries() {
+	entries := n.Recovered.Entries
+	if len(entries) == 0 {
+		if n.snapshot.Index > 0 {
+			n.emit(Restore{Write: n.nextWrite(), Snapshot: n.snapshot})
+		}
+		return
+	}
+	skip := int(n.snapshot.Index + 1 - entries[0].Index)
+	if skip > len(entries) || skip > 0 && entries[skip-1].Term != n.snapshot.Term {
+		n.emit(Restore{Write: n.nextWrite(), Snapshot: n.snapshot})
+		return
+	}
+	n.log.append(entries[skip:]...)
+	n.members.add(entries[skip:])
+}
+
+func (n *Node) bootstrap(servers []Server) {
+	servers = slices.Clone(servers)
+	slices.SortFunc(servers, func(a, b Server) int { return a.ID.Compare(b.ID) })
+	if n.state.Term > 0 || n.log.last() > 0 || !(membership{servers: servers}).votes(n.Self) {
+		return
+	}
+	n.state = HardState{Term: 1}
+	n.persist()
+	n.appendEntries([]Entry{{Index: 1, Term: 1, Kind: Membership, Servers: servers}})
+}
