Add the runners of entry, agent and controller

Cause: the decision cores and adapters need one owner for each process. Change: runner of entry and agent, server of the controller (writes are not stored yet).

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -23,7 +23,8 @@
 	expiring collector.Heap[expiry]
 	links    map[specifier.Identity]uint64
 	upstream netip.AddrPort
-	slots    int // 0 while the upstream is absent
+	slots    int       // 0 while the upstream is absent
+	lapse    time.Time // when the upstream's announcement ends
 	running  int
 	queued   int
 	held     int
@@ -81,6 +82,9 @@
 	if !x.leased(now) {
 		x.refuseQueued(NoLease)
 	}
+	if !x.lapse.After(now) {
+		x.upstreamDown()
+	}
 	for {
 		next, ok := x.expiring.Peek()
 		if !ok || next.at.After(now) {
@@ -95,14 +99,22 @@
 
 // Next returns the earliest deadline.
 func (x *Executor) Next() time.Time {
-	next, ok := x.expiring.Peek()
-	if x.queued > 0 && (!ok || x.lease.Before(next.at)) {
-		return x.lease
+	var next time.Time
+	sooner := func(at time.Time) {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if first, ok := x.expiring.Peek(); ok {
+		sooner(first.at)
+	}
+	if x.queued > 0 {
+		sooner(x.lease)
 	}
-	if !ok {
-		return time.Time{}
+	if x.slots > 0 {
+		sooner(x.lapse)
 	}
-	return next.at
+	return next
 }
 
 // Load returns the agent's count of its work.
@@ -211,7 +223,7 @@
 
 func (x *Executor) upstreamUp(e UpstreamUp) {
 	changed := x.slots != e.Slots || x.upstream != e.Addr
-	x.upstream, x.slots = e.Addr, e.Slots
+	x.upstream, x.slots, x.lapse = e.Addr, e.Slots, e.Until
 	if changed {
 		x.out = append(x.out, Announce{Load: x.Load()})
 	}
--- /dev/null
+++ b/agent/invoker/doc.go
@@ -0,0 +1,2 @@
+// Package invoker calls the upstream over HTTP, once for each task.
+package invoker
--- /dev/null
+++ b/agent/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener serves entries over gRPC and the upstream's announcements over HTTP.
+package listener
--- /dev/null
+++ b/agent/listener/worker.go
@@ -0,0 +1,104 @@
+package listener
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"oleandertally/agent/executor"
+	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
+	"oleandertally/core/specifier"
+)
+
+// Worker serves entries. Fields are set before use.
+type Worker struct {
+	encoder.UnimplementedWorkerServer
+
+	Self  func() specifier.Identity
+	Sink  *mailer.Mailbox[executor.Event]
+	Links *Links
+	Clock func() time.Time
+}
+
+// Link serves one entry until its stream ends.
+func (w *Worker) Link(stream encoder.Worker_LinkServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	entry, err := encoder.DecodeIdentity(first.Hello)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	self := w.Self()
+	if first.Target != uint64(self.Incarnation) {
+		return status.Errorf(codes.FailedPrecondition, "Target: is %016x, this agent is %s", first.Target, self)
+	}
+	link, box := w.Links.Open(entry)
+	defer w.Links.Close(entry, link)
+	group, ctx := errgroup.WithContext(stream.Context())
+	if err := w.Sink.Send(ctx, executor.Linked{Entry: entry, Link: link}); err != nil {
+		return err
+	}
+	if err := stream.Send(&encoder.AgentMessage{Hello: encoder.EncodeIdentity(self)}); err != nil {
+		return err
+	}
+	group.Go(func() error { return send(ctx, stream, box) })
+	group.Go(func() error { return w.receive(ctx, stream, entry, link) })
+	err = group.Wait()
+	closeCtx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = w.Sink.Send(closeCtx, executor.Unlinked{Entry: entry, Link: link})
+	return err
+}
+
+// send merges what waits into one message, up to a bound on its results.
+func send(ctx context.Context, stream encoder.Worker_LinkServer, box *mailer.Outbox[*encoder.AgentMessage]) error {
+	const mergeBytes = 1 << 20
+	for {
+		messages, err := box.Take(ctx)
+		if err != nil {
+			return err
+		}
+		merged, size := &encoder.AgentMessage{}, 0
+		for i, message := range messages {
+			merged.Dones = append(merged.Dones, message.Dones...)
+			merged.Refusals = append(merged.Refusals, message.Refusals...)
+			merged.Reports = append(merged.Reports, message.Reports...)
+			merged.Load = message.Load
+			for _, done := range message.Dones {
+				size += len(done.Body)
+			}
+			// A report comes in a message of its own order: what follows it must not overtake it.
+			if size < mergeBytes && len(message.Reports) == 0 && i < len(messages)-1 {
+				continue
+			}
+			if err := stream.Send(merged); err != nil {
+				return err
+			}
+			merged, size = &encoder.AgentMessage{}, 0
+		}
+	}
+}
+
+func (w *Worker) receive(ctx context.Context, stream encoder.Worker_LinkServer, entry specifier.Identity, link uint64) error {
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		events, err := decode(message, entry, link, w.Clock())
+		if err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		for _, event := range events {
+			if err := w.Sink.Send(ctx, event); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/controller/server/doc.go
@@ -0,0 +1,3 @@
+// Package server runs a controller: the control loop around driver, the gRPC services, the streams to
+// the other controllers, and the disk.
+package server
--- /dev/null
+++ b/controller/server/registry.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"oleandertally/controller/driver"
+	"oleandertally/controller/sequencer"
+	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
+	"oleandertally/core/specifier"
+)
+
+// registry serves entries and agents.
+type registry struct {
+	encoder.UnimplementedRegistryServer
+
+	mailbox *mailer.Mailbox[driver.Event]
+	last    atomic.Uint64
+	propose streams[*encoder.Verdict]
+	attend  streams[specifier.Update]
+}
+
+// Propose carries commands to the log and their decisions back.
+func (r *registry) Propose(stream encoder.Registry_ProposeServer) error {
+	id := sequencer.Stream(r.last.Add(1))
+	box := r.propose.open(id)
+	defer r.propose.close(id)
+	group, ctx := errgroup.WithContext(stream.Context())
+	group.Go(func() error {
+		for {
+			verdicts, err := box.Take(ctx)
+			if err != nil {
+				return err
+			}
+			if err := stream.Send(&encoder.Verdicts{Items: verdicts}); err != nil {
+				return err
+			}
+		}
+	})
+	group.Go(func() error {
+		for {
+			proposals, err := stream.Recv()
+			if err != nil {
+				return err
+			}
+			if err := r.forward(ctx, id, proposals); err != nil {
+				return err
+			}
+		}
+	})
+	return group.Wait()
+}
+
+func (r *registry) forward(ctx context.Context, id sequencer.Stream, proposals *encoder.Proposals) error {
+	for _, proposal := range proposals.Items {
+		command, err := encoder.DecodeCommand(proposal.Command)
+		if err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		if proposal.Sequence == 0 {
+			return status.Error(codes.InvalidArgument, "Proposal.Sequence: is 0, expected at least 1")
+		}
+		event := sequencer.Proposed{Stream: id, Sequence: proposal.Sequence, Command: command}
+		if err := r.mailbox.Send(ctx, driver.Event{Control: event}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Attend keeps one member recorded.
+func (r *registry) Attend(stream encoder.Registry_AttendServer) error {
+	id := sequencer.Stream(r.last.Add(1))
+	box := r.attend.open(id)
+	defer r.attend.close(id)
+	defer r.closed(id)
+	group, ctx := errgroup.WithContext(stream.Context())
+	group.Go(func() error {
+		for {
+			updates, err := box.Take(ctx)
+			if err != nil {
+				return err
+			}
+			for _, update := range updates {
+				if err := stream.Send(encoder.EncodeUpdate(update)); err != nil {
+					return err
+				}
+				if update.NotLeader || update.Expelled {
+					return status.Error(codes.Aborted, "the attendance ended")
+				}
+			}
+		}
+	})
+	group.Go(func() error {
+		for {
+			message, err := stream.Recv()
+			if err != nil {
+				return err
+			}
+			presence, err := encoder.DecodePresence(message)
+			if err != nil {
+				return status.Error(codes.InvalidArgument, err.Error())
+			}
+			event := sequencer.Attended{Stream: id, Presence: presence}
+			if err := r.mailbox.Send(ctx, driver.Event{Control: event}); err != nil {
+				return err
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// closed tells the control loop that a stream ended, unless the loop has ended too.
+func (r *registry) closed(id sequencer.Stream) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeBound)
+	defer cancel()
+	_ = r.mailbox.Send(ctx, driver.Event{Control: sequencer.Closed{Stream: id}})
+}
--- /dev/null
+++ b/core/attender/notice.go
@@ -0,0 +1,18 @@
+package attender
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// Notice is what the attender learned.
+type Notice struct {
+	Self    specifier.Identity
+	Members []specifier.Member // every member that is known; nil when unchanged
+	Version uint64             // of the membership
+	// Configuration is set when a newer one came.
+	Configuration *specifier.Configuration
+	// Until is when the lease ends, counted from when the renewal was sent; zero when unchanged.
+	Until time.Time
+}
--- /dev/null
+++ b/core/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer keeps one gRPC connection to each address that a process talks to.
+package dialer
--- /dev/null
+++ b/core/dialer/pool.go
@@ -0,0 +1,61 @@
+package dialer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"oleandertally/core/encoder"
+)
+
+// Pool shares connections. Fields are set before use; it is safe for concurrent use.
+type Pool struct {
+	Credentials credentials.TransportCredentials
+
+	mutex sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// Conn returns the connection to addr, which connects in the background.
+func (p *Pool) Conn(addr netip.AddrPort) (*grpc.ClientConn, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if conn := p.conns[addr]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+		grpc.WithTransportCredentials(p.Credentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)),
+		// The default of two minutes would keep a process away from a peer long after it came back.
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
+			MinConnectTimeout: time.Second,
+		}),
+		// A silent partition shows as a broken stream after Time plus Timeout.
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dialer: connect to %s", addr)
+	}
+	if p.conns == nil {
+		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+	}
+	p.conns[addr] = conn
+	return conn, nil
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range p.conns {
+		conn.Close()
+	}
+	p.conns = nil
+}
--- /dev/null
+++ b/core/dialer/server.go
@@ -0,0 +1,23 @@
+package dialer
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"oleandertally/core/encoder"
+)
+
+// NewServer returns a gRPC server with the limits that Pool expects.
+func NewServer(credentials credentials.TransportCredentials, options ...grpc.ServerOption) *grpc.Server {
+	options = append(options,
+		grpc.Creds(credentials),
+		grpc.MaxRecvMsgSize(encoder.MaxMessage),
+		grpc.MaxSendMsgSize(encoder.MaxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
+	)
+	return grpc.NewServer(options...)
+}
--- a/core/specifier/job.go
+++ b/core/specifier/job.go
@@ -15,16 +15,16 @@
 // Check returns every problem of the job's fields, or nil.
 func (j Job) Check() *Problems {
 	found := &Problems{}
-	found.name("Idempotency-Key", j.Key)
-	found.name("Team", j.Team)
-	found.name("Profile", j.Profile)
+	found.Name("Idempotency-Key", j.Key)
+	found.Name("Team", j.Team)
+	found.Name("Profile", j.Profile)
 	if len(j.Tasks) < 1 || len(j.Tasks) > MaxTasks {
 		found.Add("Tasks", "has %d tasks, expected 1 to %d", len(j.Tasks), MaxTasks)
 	}
 	seen := make(map[string]bool, len(j.Tasks))
 	for i, task := range j.Tasks {
 		field := indexed("Tasks", i)
-		found.name(field+".Id", task.ID)
+		found.Name(field+".Id", task.ID)
 		if seen[task.ID] {
 			found.Add(field+".Id", "repeats %q", task.ID)
 		}
--- a/core/specifier/problems.go
+++ b/core/specifier/problems.go
@@ -21,14 +21,19 @@
 	}
 }
 
-// Merge adds the problems of a part of the input, under the path of that part.
+// Merge adds the problems of a part of the input, under the path of that part; an empty path
+// adds them as they are.
 func (p *Problems) Merge(path string, part *Problems) {
 	if part == nil {
 		return
 	}
+	prefix := ""
+	if path != "" {
+		prefix = path + "."
+	}
 	for _, line := range part.lines {
 		if len(p.lines) < maxProblems {
-			p.lines = append(p.lines, path+"."+line)
+			p.lines = append(p.lines, prefix+line)
 		}
 	}
 }
@@ -47,7 +52,8 @@
 // Error joins the problems.
 func (p *Problems) Error() string { return strings.Join(p.lines, "; ") }
 
-func (p *Problems) name(field, text string) {
+// Name records a name that is empty or longer than MaxName.
+func (p *Problems) Name(field, text string) {
 	if text == "" || len(text) > MaxName {
 		p.Add(field, "has %d bytes, expected 1 to %d", len(text), MaxName)
 	}
--- a/core/specifier/profile.go
+++ b/core/specifier/profile.go
@@ -27,8 +27,8 @@
 // Check returns every problem of the profile's fields, or nil.
 func (p Profile) Check() *Problems {
 	found := &Problems{}
-	found.name("Name", p.Name)
-	found.name("Service", p.Service)
+	found.Name("Name", p.Name)
+	found.Name("Service", p.Service)
 	between(found, "MaxTimeLeft", p.MaxTimeLeft, 0, MaxTimeLeft)
 	between(found, "TypicalTime", p.TypicalTime, 0, MaxTimeLeft)
 	between(found, "QueueBound", p.QueueBound, 0, maxQueueBound)
--- a/core/specifier/team.go
+++ b/core/specifier/team.go
@@ -12,7 +12,7 @@
 // Check returns every problem of the team's fields, or nil.
 func (t Team) Check() *Problems {
 	found := &Problems{}
-	found.name("Name", t.Name)
+	found.Name("Name", t.Name)
 	between(found, "Share", t.Share, 0, maxShare)
 	return found.OrNil()
 }
--- /dev/null
+++ b/entry/linker/asker.go
@@ -0,0 +1,48 @@
+package linker
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
+	"oleandertally/entry/coordinator"
+)
+
+// askBound is how long one question to another entry may stay open; it is then asked again.
+const askBound = 30 * time.Second
+
+// Asker waits at other entries for the answers of jobs that they own. Fields are set before use.
+type Asker struct {
+	Pool  *dialer.Pool
+	Sink  *Sink
+	Group *errgroup.Group
+	Ctx   context.Context
+}
+
+// Ask asks in the background. The coordinator gets OwnerAnswered.
+func (a *Asker) Ask(question coordinator.AskOwner) {
+	a.Group.Go(func() error {
+		answer := coordinator.OwnerAnswered{Job: question.Job, Owner: question.Owner, Gone: true}
+		if reply, err := a.await(question); err == nil && !reply.Gone {
+			if decoded, err := encoder.DecodeAnswer(reply.Answer); err == nil {
+				answer.Gone, answer.Answer = false, decoded
+			}
+		}
+		_ = deliver(a.Ctx, a.Sink, answer)
+		return nil
+	})
+}
+
+func (a *Asker) await(question coordinator.AskOwner) (*encoder.AwaitReply, error) {
+	conn, err := a.Pool.Conn(question.Addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(a.Ctx, askBound)
+	defer cancel()
+	return encoder.NewPeerClient(conn).Await(ctx, &encoder.AwaitRequest{Job: question.Job[:], Digest: question.Digest[:],
+		Incarnation: uint64(question.Owner.Incarnation), Cancel: question.Cancel})
+}
--- /dev/null
+++ b/entry/linker/proposer.go
@@ -0,0 +1,219 @@
+package linker
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
+	"oleandertally/core/specifier"
+	"oleandertally/entry/coordinator"
+)
+
+const (
+	// redialBound is the most that the proposer waits between two controllers.
+	redialBound = 200 * time.Millisecond
+	// silenceBound is how long a controller may leave proposals undecided before another is
+	// tried. A partition can cut a leader off without breaking the connection.
+	silenceBound = 2 * time.Second
+	// proposalsPerMessage bounds one message to the controllers.
+	proposalsPerMessage = 1024
+)
+
+// Proposer sends commands to the leading controller and hands their decisions to the
+// coordinator. What is undecided when a stream breaks is sent again on the next one, in
+// order. Exported fields are set before Run.
+type Proposer struct {
+	Controllers []netip.AddrPort
+	Pool        *dialer.Pool
+	Sink        *Sink
+	Log         zerolog.Logger
+
+	mutex   sync.Mutex
+	last    uint64
+	pending map[uint64]specifier.Command
+	fresh   []uint64 // not sent on the present stream
+	ready   chan struct{}
+}
+
+// NewProposer returns a proposer whose fields are still to be set.
+func NewProposer() *Proposer {
+	return &Proposer{pending: make(map[uint64]specifier.Command), ready: make(chan struct{}, 1)}
+}
+
+// Propose queues a command. It does not block.
+func (p *Proposer) Propose(command specifier.Command) {
+	p.mutex.Lock()
+	p.last++
+	p.pending[p.last] = command
+	p.fresh = append(p.fresh, p.last)
+	p.mutex.Unlock()
+	p.wake()
+}
+
+func (p *Proposer) wake() {
+	select {
+	case p.ready <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends until ctx ends.
+func (p *Proposer) Run(ctx context.Context) error {
+	if len(p.Controllers) == 0 {
+		return errors.New("proposer: Controllers: is empty, expected at least one address")
+	}
+	next, addr := 0, p.Controllers[0]
+	for ctx.Err() == nil {
+		leader, err := p.session(ctx, addr)
+		if leader.IsValid() && leader != addr {
+			addr = leader
+		} else {
+			next = (next + 1) % len(p.Controllers)
+			addr = p.Controllers[next]
+		}
+		if err != nil && ctx.Err() == nil {
+			p.Log.Debug().Err(err).Str("Peer", addr.String()).Msg("proposal stream ended")
+		}
+		pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
+	}
+	return context.Cause(ctx)
+}
+
+func (p *Proposer) session(ctx context.Context, addr netip.AddrPort) (leader netip.AddrPort, err error) {
+	conn, err := p.Pool.Conn(addr)
+	if err != nil {
+		return leader, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := encoder.NewRegistryClient(conn).Propose(ctx)
+	if err != nil {
+		return leader, errors.Wrap(err, "proposer: open the stream")
+	}
+	p.resend()
+	answers := make(chan struct{}, 1)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.send(ctx, stream, answers) })
+	group.Go(func() error {
+		var err error
+		leader, err = p.receive(ctx, stream, answers)
+		return err
+	})
+	err = group.Wait()
+	return leader, err
+}
+
+// resend marks everything undecided as not sent, oldest first.
+func (p *Proposer) resend() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fresh = slices.Sorted(maps.Keys(p.pending))
+	p.wake()
+}
+
+// send waits for commands and watches that the controller answers.
+func (p *Proposer) send(ctx context.Context, stream encoder.Registry_ProposeClient, answers <-chan struct{}) error {
+	timer := time.NewTimer(silenceBound)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-answers:
+			timer.Reset(silenceBound)
+		case <-timer.C:
+			if p.waits() {
+				return errors.New("proposer: the controller leaves proposals undecided")
+			}
+			timer.Reset(silenceBound)
+		case <-p.ready:
+			for batch := p.take(); batch != nil; batch = p.take() {
+				if err := stream.Send(batch); err != nil {
+					return errors.Wrap(err, "proposer: send")
+				}
+			}
+		}
+	}
+}
+
+func (p *Proposer) waits() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.pending) > 0
+}
+
+// take returns the next message, or nil.
+func (p *Proposer) take() *encoder.Proposals {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.fresh) == 0 {
+		return nil
+	}
+	size := min(len(p.fresh), proposalsPerMessage)
+	batch := &encoder.Proposals{}
+	for _, sequence := range p.fresh[:size] {
+		if command, ok := p.pending[sequence]; ok {
+			batch.Items = append(batch.Items, &encoder.Proposal{Sequence: sequence, Command: encoder.EncodeCommand(command)})
+		}
+	}
+	p.fresh = slices.Delete(p.fresh, 0, size)
+	return batch
+}
+
+func (p *Proposer) receive(ctx context.Context, stream encoder.Registry_ProposeClient, answers chan<- struct{}) (netip.AddrPort, error) {
+	for {
+		var none netip.AddrPort
+		verdicts, err := stream.Recv()
+		if err != nil {
+			return none, errors.Wrap(err, "proposer: receive")
+		}
+		for _, item := range verdicts.Items {
+			decision, err := encoder.DecodeDecision(item.Decision)
+			if err != nil {
+				return none, errors.Wrap(err, "proposer: decision")
+			}
+			if decision.Verdict == specifier.NotLeader {
+				return decision.Leader, errors.New("proposer: the controller does not lead")
+			}
+			command, ok := p.settle(item.Sequence)
+			if !ok {
+				continue
+			}
+			if err := deliver(ctx, p.Sink, coordinator.Decided{Command: command, Decision: decision}); err != nil {
+				return none, err
+			}
+		}
+		select {
+		case answers <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// settle removes a command that is decided.
+func (p *Proposer) settle(sequence uint64) (specifier.Command, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	command, ok := p.pending[sequence]
+	delete(p.pending, sequence)
+	return command, ok
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
