Add a replay of traces through the dispatch decisions

Cause: the policies of dispatch need figures before and after each change. Change: module replay with a trace format, a seeded generator, fakes of entries, agents and links on a held clock, and a table for each trace; orderer.Queue, the queue of an agent; recorded traces in examples/traces.

--- /dev/null
+++ b/dispatch/orderer/entry.go
@@ -0,0 +1,22 @@
+package orderer
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/classifier"
+)
+
+// Entry is one task in an agent's queue.
+type Entry struct {
+	Key      Key
+	Deadline time.Time // the task is dropped when it has not started by then; zero: never
+	Class    classifier.Class
+	Profile  string
+	Team     string
+}
+
+// TaskKey returns the task that the entry stands for.
+func (e Entry) TaskKey() specifier.TaskKey {
+	return specifier.TaskKey{Job: e.Key.Job, Task: e.Key.Task}
+}
--- /dev/null
+++ b/replay/main.go
@@ -0,0 +1,24 @@
+// Replay plays recorded or generated traces through the dispatch decisions on a held clock and prints, for
+// each trace, how the variants of the policies compare.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	play := &playCommand{}
+	subcommands.Register(play, "")
+	subcommands.Register(&generateCommand{}, "")
+	subcommands.Register(subcommands.HelpCommand(), "")
+	flag.Parse()
+	if flag.NArg() == 0 {
+		play.SetFlags(flag.NewFlagSet("play", flag.ExitOnError))
+		os.Exit(int(play.Execute(context.Background(), flag.CommandLine)))
+	}
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/replay/play.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+
+	"oleandertally/replay/player"
+	"oleandertally/replay/reporter"
+	"oleandertally/replay/tracer"
+)
+
+// playCommand plays the traces of a folder, or generated ones.
+type playCommand struct {
+	folder   string
+	seed     uint64
+	length   time.Duration
+	traces   string
+	variants string
+}
+
+// Name returns the name of the command.
+func (*playCommand) Name() string { return "play" }
+
+// Synopsis describes the command in a line.
+func (*playCommand) Synopsis() string { return "play traces and print tables" }
+
+// Usage describes the command.
+func (*playCommand) Usage() string {
+	return "play [-folder DIR | -seed N -length D] [-traces RE] [-variants RE]\n"
+}
+
+// SetFlags defines the flags.
+func (c *playCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.folder, "folder", "examples/traces", "folder of recorded traces")
+	flags.Uint64Var(&c.seed, "seed", 0, "generate the traces from this seed instead of reading them")
+	flags.DurationVar(&c.length, "length", time.Minute, "length of generated traces")
+	flags.StringVar(&c.traces, "traces", "", "regular expression of trace names to play")
+	flags.StringVar(&c.variants, "variants", "", "regular expression of variants to play")
+}
+
+// Execute plays the traces.
+func (c *playCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "replay:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *playCommand) run() error {
+	names, err := regexp.Compile(c.traces)
+	if err != nil {
+		return errors.Wrap(err, "-traces")
+	}
+	wanted, err := regexp.Compile(c.variants)
+	if err != nil {
+		return errors.Wrap(err, "-variants")
+	}
+	traces, err := c.load()
+	if err != nil {
+		return err
+	}
+	for _, trace := range traces {
+		if !names.MatchString(trace.Name) {
+			continue
+		}
+		if err := compare(trace, wanted); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *playCommand) load() ([]tracer.Trace, error) {
+	if c.seed != 0 {
+		return tracer.Catalog(c.seed, c.length), nil
+	}
+	paths, err := filepath.Glob(filepath.Join(c.folder, "*.jsonl"))
+	if err != nil || len(paths) == 0 {
+		return nil, errors.Newf("no traces (*.jsonl) in %s", c.folder)
+	}
+	var traces []tracer.Trace
+	for _, path := range paths {
+		trace, err := readFile(path)
+		if err != nil {
+			return nil, err
+		}
+		traces = append(traces, trace)
+	}
+	return traces, nil
+}
+
+func readFile(path string) (tracer.Trace, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return tracer.Trace{}, errors.Wrap(err, "open trace")
+	}
+	defer file.Close()
+	trace, err := tracer.Read(file)
+	return trace, errors.Wrap(err, path)
+}
+
+// compare prints the table of one trace.
+func compare(trace tracer.Trace, wanted *regexp.Regexp) error {
+	var rows []reporter.Summary
+	for _, variant := range variants() {
+		if !wanted.MatchString(variant.Name) {
+			continue
+		}
+		row := reporter.Summarize(variant.Name, trace, player.Play(trace, variant))
+		if without := trace.Without(reporter.Batch); len(without.Jobs) < len(trace.Jobs) {
+			row.Blocking = row.ShortHigh / reporter.Summarize("", without, player.Play(without, variant)).ShortHigh
+		}
+		rows = append(rows, row)
+	}
+	rows = append(rows, reporter.Summarize("one queue, run times known", trace, player.Bound(trace)))
+	title := fmt.Sprintf("%s: %d jobs in %v, demand %.2f, %d entries, seed %d", trace.Name, len(trace.Jobs),
+		trace.Length(), trace.Demand, trace.Entries, trace.Seed)
+	return reporter.Print(os.Stdout, title, rows)
+}
--- /dev/null
+++ b/replay/player/agent.go
@@ -0,0 +1,138 @@
+package player
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/classifier"
+	"oleandertally/dispatch/orderer"
+	"oleandertally/dispatch/scheduler"
+	"oleandertally/replay/tracer"
+)
+
+// agent is a fake agent around the queue that real agents use.
+type agent struct {
+	player *Player
+	member specifier.Member
+	index  int // worker number in the trace
+	zone   int
+	queue  orderer.Queue
+	owners map[specifier.TaskKey]*entry
+	told   []time.Time      // when each entry last got a message
+	sent   []specifier.Load // the load in that message
+	pushed int
+	dead   bool
+	timer  time.Time
+}
+
+// assign takes a task from an entry.
+func (a *agent) assign(from *entry, item scheduler.Item) {
+	if a.dead {
+		return
+	}
+	order := item.Order
+	a.pushed++
+	if a.player.variant.FIFO {
+		order.At = epoch.Add(time.Duration(a.pushed))
+	}
+	task := orderer.Entry{Key: order, Deadline: item.Deadline, Profile: item.Profile, Team: item.Team,
+		Class: a.player.class(item)}
+	a.owners[item.Key] = from
+	a.queue.Push(a.player.time.now, task)
+	a.step()
+}
+
+// withdraw drops the waiting tasks of a job.
+func (a *agent) withdraw(job specifier.JobID) {
+	for _, task := range a.queue.Remove(job) {
+		delete(a.owners, task.TaskKey())
+	}
+	a.step()
+}
+
+// step starts what may start and reports to entries whose view is far off.
+func (a *agent) step() {
+	now := a.player.time.now
+	if a.dead {
+		return
+	}
+	for _, late := range a.queue.Expire(now) {
+		a.refuse(late.TaskKey())
+	}
+	for _, task := range a.queue.Start(now) {
+		a.start(task)
+	}
+	if next := a.queue.Next(); !next.IsZero() && !next.Equal(a.timer) {
+		a.timer = next
+		a.player.time.at(next, a.step)
+	}
+}
+
+func (a *agent) refuse(key specifier.TaskKey) {
+	owner := a.owners[key]
+	delete(a.owners, key)
+	a.tell(owner, func() { owner.refused(a, key) })
+}
+
+func (a *agent) start(task orderer.Entry) {
+	run, ok := a.player.runTime(a, task.TaskKey())
+	a.player.time.after(run, func() { a.finish(task, run, ok) })
+}
+
+func (a *agent) finish(task orderer.Entry, run time.Duration, ok bool) {
+	if a.dead {
+		return
+	}
+	key := task.TaskKey()
+	a.queue.Done(a.player.time.now, key)
+	a.player.ran(key, run)
+	owner := a.owners[key]
+	delete(a.owners, key)
+	a.step()
+	a.tell(owner, func() { owner.done(a, key, ok, run) })
+}
+
+// tell sends a message with the agent's load to an entry.
+func (a *agent) tell(to *entry, deliver func()) {
+	load := a.queue.Load()
+	a.told[to.index], a.sent[to.index] = a.player.time.now, load
+	a.player.send(a.zone, to.zone, func() {
+		to.scheduler.Reported(a.player.time.now, a.member.Identity, load)
+		deliver()
+	})
+}
+
+func newAgent(p *Player, index, zone int, member specifier.Member) *agent {
+	return &agent{player: p, index: index, zone: zone, member: member, queue: orderer.Queue{Slots: member.Slots},
+		owners: make(map[specifier.TaskKey]*entry), told: make([]time.Time, p.trace.Entries),
+		sent: make([]specifier.Load, p.trace.Entries)}
+}
+
+// failTime is how long a sick worker or a poison payload takes to fail a task.
+const failTime = time.Millisecond
+
+// runTime returns how long a task takes on an agent now and whether it succeeds.
+func (p *Player) runTime(a *agent, key specifier.TaskKey) (time.Duration, bool) {
+	job := p.jobs[key.Job]
+	run := job.trace.Run(job.index[key.Task])
+	if job.trace.Poison {
+		return failTime, false
+	}
+	for _, fault := range p.trace.Faults {
+		if !fault.Covers(p.time.elapsed()) || fault.Worker != a.index {
+			continue
+		}
+		switch fault.Kind {
+		case tracer.BlackHole:
+			return failTime, false
+		case tracer.Straggler:
+			run = time.Duration(float64(run) * fault.Factor)
+		}
+	}
+	return run, true
+}
+
+// class returns what agents have learned of a profile.
+func (p *Player) class(item scheduler.Item) classifier.Class {
+	return classifier.Of(time.Duration(p.trace.Typical[item.Profile]) * time.Millisecond)
+}
--- /dev/null
+++ b/replay/player/job.go
@@ -0,0 +1,50 @@
+package player
+
+import (
+	"strconv"
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/scheduler"
+	"oleandertally/replay/tracer"
+)
+
+// job is a submission in flight.
+type job struct {
+	trace     tracer.Job
+	spec      specifier.Job
+	arrived   time.Time
+	record    *Record
+	index     map[string]int // of each task
+	remaining int
+	holders   map[*agent]int // unfinished tasks sent to each agent
+	ended     bool
+	attempts  int
+}
+
+func newJob(number int, from tracer.Job, record *Record) *job {
+	id := specifier.NewJobID(from.Team, strconv.Itoa(number))
+	j := &job{trace: from, record: record, index: make(map[string]int), remaining: len(from.RunMillis),
+		holders: make(map[*agent]int), arrived: epoch.Add(from.At())}
+	j.spec = specifier.Job{ID: id, Team: from.Team, Key: strconv.Itoa(number), Profile: from.Profile,
+		Deadline: j.arrived.Add(from.TimeLeft())}
+	for i := range from.RunMillis {
+		name := strconv.Itoa(i)
+		j.index[name] = i
+		j.spec.Tasks = append(j.spec.Tasks, specifier.Task{ID: name})
+	}
+	return j
+}
+
+// items returns the tasks in the order that the variant's policy gives them.
+func (j *job) items(now time.Time, variant Variant, service string) []scheduler.Item {
+	var items []scheduler.Item
+	at := variant.Order.At(now, len(j.spec.Tasks), 0)
+	for _, task := range j.spec.Tasks {
+		key := specifier.TaskKey{Job: j.spec.ID, Task: task.ID}
+		item := scheduler.Item{Key: key, Service: service, Profile: j.spec.Profile, Team: j.spec.Team, Deadline: j.spec.Deadline}
+		item.Order.At, item.Order.Job, item.Order.Task = at, key.Job, key.Task
+		items = append(items, item)
+	}
+	return items
+}
--- /dev/null
+++ b/replay/player/outcome.go
@@ -0,0 +1,14 @@
+package player
+
+// Outcome is how a job ended in a replay.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Pending   Outcome = iota
+	Completed         // every task ran
+	Refused           // not admitted; no task ran
+	TimedOut          // the deadline passed
+	Failed            // a task failed or was lost
+	Cancelled         // the caller cancelled
+)
--- /dev/null
+++ b/replay/player/scheduler.go
@@ -0,0 +1,22 @@
+package player
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/scheduler"
+)
+
+// Scheduler is what an entry's coordinator calls.
+type Scheduler interface {
+	SetMembers(now time.Time, members []specifier.Member) []scheduler.Assignment
+	SetLinked(now time.Time, id specifier.Identity, linked bool)
+	Admit(now time.Time, job specifier.Job, profile specifier.Profile) *scheduler.Refusal
+	Enqueue(now time.Time, items []scheduler.Item)
+	Dispatch(now time.Time) []scheduler.Assignment
+	Done(now time.Time, id specifier.Identity, key specifier.TaskKey, ok bool, runTime time.Duration)
+	Refused(now time.Time, id specifier.Identity, key specifier.TaskKey)
+	Reported(now time.Time, id specifier.Identity, load specifier.Load)
+	Forget(job specifier.JobID)
+	Next() time.Time
+}
--- /dev/null
+++ b/replay/player/variant.go
@@ -0,0 +1,16 @@
+package player
+
+import (
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/orderer"
+)
+
+// Variant is one set of policies to play a trace with.
+type Variant struct {
+	Name  string
+	Order orderer.Policy
+	// FIFO makes agents start tasks in order of arrival at the agent.
+	FIFO bool
+	// NewScheduler returns the scheduler of the entry self.
+	NewScheduler func(seed uint64, self specifier.Member, teams map[string]specifier.Team) Scheduler
+}
--- /dev/null
+++ b/replay/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter turns the reports of replays into tables.
+package reporter
--- /dev/null
+++ b/replay/reporter/table.go
@@ -0,0 +1,30 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Print writes the rows of one trace as a table.
+func Print(to io.Writer, title string, rows []Summary) error {
+	if _, err := fmt.Fprintf(to, "\n%s\n", title); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "variant\tall p50\tall p99\tshort p50\tshort p99\tworst wide\tgoodput\tblocking\tlost\teject right\twrong\tmsg/task\trefused\tfailed\t")
+	for _, r := range rows {
+		fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f%%\t%s\t%d\t%d\t%d\t%.2f\t%d\t%d\t\n", r.Variant, r.AllMedian, r.AllHigh,
+			r.ShortMedian, r.ShortHigh, r.WorstWide, 100*r.Goodput, optional(r.Blocking), r.Lost, r.Right, r.Wrong, r.Messages, r.Refused, r.Failed)
+	}
+	return errors.Wrap(table.Flush(), "write table")
+}
+
+func optional(value float64) string {
+	if value == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", value)
+}
