Place tasks by late binding over an index of free room

Cause: the first scheduler subtracted its own tasks twice and never heard from agents that it did not use, so it held work back from free slots; its pick was linear. Change: the engine takes the placement as a type parameter (random, two choices, least loaded, late binding); agents are indexed by room, by zone and lane; the tasks of other entries in a report fade; orderer.Reporter tells misled entries the load within a message budget.

--- a/dispatch/scheduler/agent.go
+++ b/dispatch/scheduler/agent.go
@@ -1,29 +1,39 @@
 package scheduler
 
-import "oleandertally/core/specifier"
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
 
 // agent is what this entry knows of one agent.
 type agent struct {
 	member specifier.Member
 	linked bool
-	load   specifier.Load // as last reported
-	held   map[specifier.TaskKey]Item
+	zone   *zone
+	pool   *pool
+	at     [lanes]place
+
+	load       specifier.Load // as last reported
+	reportedAt time.Time
+	others     int // tasks of other entries, as of the last report
+	held       map[specifier.TaskKey]held
+	long       int       // held tasks in the limited lane
+	paceAt     time.Time // start of the current pace interval
+	paced      int       // tasks sent in it
+}
+
+// held is a task that an agent was sent and has not answered.
+type held struct {
+	item Item
+	lane lane
+	sent time.Time
 }
 
-// open returns how many more tasks the agent may be sent.
-func (a *agent) open() int {
+// slots returns how many tasks the agent can run at once.
+func (a *agent) slots() int {
 	if !a.linked || a.member.State != specifier.Up {
 		return 0
 	}
-	slots := min(a.member.Slots, a.load.Slots)
-	if slots == 0 {
-		return 0
-	}
-	// Tasks of other entries that the agent reported take room too.
-	others := max(a.load.Running+a.load.Queued-len(a.held), 0)
-	return slots + lookAhead - len(a.held) - others
+	return min(a.member.Slots, a.load.Slots)
 }
-
-// lookAhead is how many tasks an agent holds beyond its slots, so that a slot that becomes
-// free does not wait for a round trip to the entry.
-const lookAhead = 1
--- /dev/null
+++ b/dispatch/scheduler/engine.go
@@ -0,0 +1,281 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/classifier"
+)
+
+// Engine holds the tasks of one entry until an agent has room, in the order of their keys. The placement
+// is a type parameter. Zone and Seed are set before use; the zero value of the others is ready. It is used
+// by one goroutine.
+type Engine[P any, T Placement[P]] struct {
+	Zone string // of this entry
+	Seed uint64 // of the random choices; entries must have different seeds
+
+	placement  P
+	random     *rand.Rand
+	agents     map[specifier.Identity]*agent
+	pools      map[string]*pool
+	order      []*pool // by service
+	jobs       map[specifier.JobID]*job
+	profiles   map[string]specifier.Profile
+	classifier classifier.Classifier
+	entries    int
+	lastShort  time.Time
+	refreshed  time.Time
+	sending    []Assignment // the buffer that Dispatch returns
+}
+
+const (
+	// lendAfter is how long no short work must have arrived before long work may take more than its share.
+	lendAfter = time.Second
+)
+
+func (e *Engine[P, T]) init() {
+	if e.agents != nil {
+		return
+	}
+	e.agents = make(map[specifier.Identity]*agent)
+	e.pools = make(map[string]*pool)
+	e.jobs = make(map[specifier.JobID]*job)
+	e.profiles = make(map[string]specifier.Profile)
+	e.random = rand.New(rand.NewPCG(e.Seed, 0))
+}
+
+// SetLinked says whether the entry has a stream to the agent.
+func (e *Engine[P, T]) SetLinked(now time.Time, id specifier.Identity, linked bool) {
+	if agent := e.agents[id]; agent != nil {
+		agent.linked = linked
+		e.update(now, agent)
+	}
+}
+
+// Enqueue adds items that may start.
+func (e *Engine[P, T]) Enqueue(now time.Time, items []Item) {
+	e.init()
+	for _, item := range items {
+		kind := laneOf(e.classifier.Class(item.Profile, e.profiles[item.Profile].TypicalTime))
+		if kind == free {
+			e.lastShort = now
+		}
+		pool := e.pool(item.Service)
+		job := e.job(item.Key.Job, pool)
+		job.waiting[kind]++
+		pool.queued[kind]++
+		pool.waiting[kind].Push(waiting{item: item, job: job, lane: kind})
+	}
+}
+
+// Dispatch returns what can be sent now, in order. The slice is valid until the next call.
+func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
+	e.sending = e.sending[:0]
+	if e.queued() == 0 {
+		return nil
+	}
+	e.refresh(now)
+	for _, pool := range e.order {
+		for e.sendNext(now, pool) {
+		}
+	}
+	return e.sending
+}
+
+// sendNext sends the first task, of either lane, for which an agent has room.
+func (e *Engine[P, T]) sendNext(now time.Time, pool *pool) bool {
+	first, ok := pool.peek(free)
+	if second, also := pool.peek(limited); also && (!ok || second.item.Order.Less(first.item.Order)) {
+		if e.send(now, pool, second) {
+			return true
+		}
+	} else if !also || !ok {
+		return ok && e.send(now, pool, first)
+	} else if e.send(now, pool, first) {
+		return true
+	} else {
+		return e.send(now, pool, second)
+	}
+	return ok && e.send(now, pool, first)
+}
+
+// send places the first task of a lane.
+func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
+	agent := T(&e.placement).pick(pool, next.lane, e.rule(now), e.random)
+	if agent == nil {
+		return false
+	}
+	pool.waiting[next.lane].Pop()
+	pool.queued[next.lane]--
+	next.job.waiting[next.lane]--
+	next.job.held++
+	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
+	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now}
+	if next.lane == limited {
+		agent.long++
+		agent.zone.long++
+	}
+	agent.pace(now)
+	e.update(now, agent)
+	e.sending = append(e.sending, Assignment{Agent: agent.member.Identity, Item: next.item})
+	return true
+}
+
+func (a *agent) pace(now time.Time) {
+	if now.Sub(a.paceAt) >= paceInterval {
+		a.paceAt, a.paced = now, 0
+	}
+	a.paced++
+}
+
+// Done notes that the agent ended a task, successfully or not.
+func (e *Engine[P, T]) Done(now time.Time, id specifier.Identity, key specifier.TaskKey, ok bool, runTime time.Duration) {
+	agent := e.agents[id]
+	if agent == nil {
+		return
+	}
+	task, found := e.release(agent, key)
+	if !found {
+		return
+	}
+	if ok {
+		e.classifier.Record(task.item.Profile, runTime)
+	}
+	e.update(now, agent)
+}
+
+// Refused notes that the agent did not start a task; it is queued again.
+func (e *Engine[P, T]) Refused(now time.Time, id specifier.Identity, key specifier.TaskKey) {
+	agent := e.agents[id]
+	if agent == nil {
+		return
+	}
+	if task, ok := e.release(agent, key); ok {
+		e.Enqueue(now, []Item{task.item})
+	}
+	e.update(now, agent)
+}
+
+// release takes a task off an agent.
+func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (held, bool) {
+	task, ok := agent.held[key]
+	if !ok {
+		return task, false
+	}
+	delete(agent.held, key)
+	if task.lane == limited {
+		agent.long--
+		agent.zone.long--
+	}
+	if job := e.jobs[key.Job]; job != nil {
+		job.held--
+		e.drop(key.Job, job)
+	}
+	return task, true
+}
+
+// Reported notes the load that an agent reported.
+func (e *Engine[P, T]) Reported(now time.Time, id specifier.Identity, load specifier.Load) {
+	if agent := e.agents[id]; agent != nil {
+		agent.load, agent.reportedAt = load, now
+		// Tasks still on their way to the agent are counted as held but are not in the report, so that
+		// the others are rather believed too few: the next report corrects it.
+		agent.others = max(load.Running+load.Queued-len(agent.held), 0)
+		e.update(now, agent)
+	}
+}
+
+// Forget drops every task of a job: those that wait, and the count of those that agents hold.
+func (e *Engine[P, T]) Forget(id specifier.JobID) {
+	job := e.jobs[id]
+	if job == nil {
+		return
+	}
+	job.forgotten = true
+	for kind := range lanes {
+		job.pool.queued[kind] -= job.waiting[kind]
+		job.waiting[kind] = 0
+		job.pool.compact(kind)
+	}
+	for _, each := range job.sent {
+		e.release(each.agent, each.key)
+	}
+	delete(e.jobs, id)
+}
+
+// Next returns when Dispatch should run again though no event came, or the zero time.
+func (e *Engine[P, T]) Next() time.Time {
+	if e.queued() == 0 {
+		return time.Time{}
+	}
+	return e.refreshed.Add(paceInterval)
+}
+
+// refresh computes the room of all agents again, since the views age.
+func (e *Engine[P, T]) refresh(now time.Time) {
+	if now.Sub(e.refreshed) < paceInterval {
+		return
+	}
+	e.refreshed = now
+	for _, pool := range e.order {
+		for _, agent := range pool.agents {
+			e.update(now, agent)
+		}
+	}
+}
+
+// update moves an agent to the level of its room.
+func (e *Engine[P, T]) update(now time.Time, agent *agent) {
+	room := T(&e.placement).room(now, agent, e.rule(now))
+	for kind := range lanes {
+		agent.zone.index[kind].put(agent, kind, room[kind])
+	}
+}
+
+func (e *Engine[P, T]) rule(now time.Time) rule {
+	return rule{local: e.Zone, entries: max(e.entries, 1), lend: now.Sub(e.lastShort) >= lendAfter}
+}
+
+func (e *Engine[P, T]) queued() int {
+	total := 0
+	for _, pool := range e.order {
+		total += pool.queued[free] + pool.queued[limited]
+	}
+	return total
+}
+
+func (e *Engine[P, T]) pool(service string) *pool {
+	known := e.pools[service]
+	if known == nil {
+		known = newPool()
+		e.pools[service] = known
+		names := make([]string, 0, len(e.pools))
+		for name := range e.pools {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		e.order = e.order[:0]
+		for _, name := range names {
+			e.order = append(e.order, e.pools[name])
+		}
+	}
+	return known
+}
+
+func (e *Engine[P, T]) job(id specifier.JobID, pool *pool) *job {
+	known := e.jobs[id]
+	if known == nil {
+		known = &job{pool: pool}
+		e.jobs[id] = known
+	}
+	return known
+}
+
+// drop removes a job that has nothing left.
+func (e *Engine[P, T]) drop(id specifier.JobID, job *job) {
+	if job.held == 0 && job.waiting == [lanes]int{} {
+		delete(e.jobs, id)
+	}
+}
--- /dev/null
+++ b/dispatch/scheduler/job.go
@@ -0,0 +1,18 @@
+package scheduler
+
+import "oleandertally/core/specifier"
+
+// job is what the scheduler knows of one job with tasks that wait or are held by agents.
+type job struct {
+	forgotten bool
+	waiting   [lanes]int
+	pool      *pool
+	sent      []sent // including tasks that have ended
+	held      int
+}
+
+// sent is a task that was sent to an agent.
+type sent struct {
+	agent *agent
+	key   specifier.TaskKey
+}
--- /dev/null
+++ b/dispatch/scheduler/latebinding.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oleandertally/dispatch/orderer"
+)
+
+// LateBinding keeps tasks at the entry until an agent has a free slot, or room in its small look-ahead.
+// Among agents with free slots it draws one at random, weighted by the free slots: entries whose views are
+// equal then spread over all free slots instead of choosing the same agent.
+type LateBinding struct{}
+
+const (
+	// lookAhead is how many tasks an agent holds beyond its slots, so that a slot that becomes
+	// free does not wait for a round trip to the entry.
+	lookAhead = 1
+	// localBonus makes a free slot in the entry's own zone count as this many elsewhere: it saves 3 ms
+	// of messages, which is little against a task of 50 ms to 1 s.
+	localBonus = 2
+	// forgetOthers is how long ago a report must be for half of the tasks of other entries in it to be
+	// taken as ended. Without it an entry that sends an agent nothing hears nothing, and believes it full
+	// for ever.
+	forgetOthers = 150 * time.Millisecond
+	// paceInterval and paceTasks bound how many tasks an agent is sent before it can have answered the
+	// first of them, so that a worker that fails everything at once loses few.
+	paceInterval = 5 * time.Millisecond
+	paceTasks    = 3
+)
+
+func (*LateBinding) room(now time.Time, agent *agent, rule rule) [lanes]int {
+	slots := agent.slots()
+	if slots == 0 {
+		return [lanes]int{}
+	}
+	if now.Sub(agent.paceAt) < paceInterval && agent.paced >= paceTasks {
+		return [lanes]int{}
+	}
+	room := max(slots+lookAhead-agent.othersAt(now)-len(agent.held), 0)
+	return [lanes]int{room, min(room, longLimit(slots, rule)-agent.long)}
+}
+
+// othersAt returns how many tasks of other entries the agent is believed to hold now.
+func (a *agent) othersAt(now time.Time) int {
+	halvings := int(now.Sub(a.reportedAt) / forgetOthers)
+	if halvings > 8 {
+		return 0
+	}
+	return a.others >> max(halvings, 0)
+}
+
+// longLimit returns how many tasks of the limited lane this entry may hold at a worker of slots slots.
+func longLimit(slots int, rule rule) int {
+	if rule.lend {
+		return max(slots-1, 1)
+	}
+	limit := orderer.LongLimit(slots, rule.longShare)
+	return max((limit+rule.entries-1)/max(rule.entries, 1), 1)
+}
+
+func (*LateBinding) pick(pool *pool, kind lane, rule rule, random *rand.Rand) *agent {
+	if chosen := pickWeighted(pool, kind, rule, random, lookAhead+1, maxLevel); chosen != nil {
+		return chosen
+	}
+	return pickWeighted(pool, kind, rule, random, 1, lookAhead)
+}
+
+// pickWeighted draws an agent with a level from low to high, weighted by the level above low and the zone.
+func pickWeighted(pool *pool, kind lane, rule rule, random *rand.Rand, low, high int) *agent {
+	total := 0
+	for _, zone := range pool.zones {
+		total += zone.weight(kind, rule, low, high)
+	}
+	if total == 0 {
+		return nil
+	}
+	drawn := random.IntN(total)
+	for _, zone := range pool.zones {
+		weight := zone.weight(kind, rule, low, high)
+		if drawn < weight {
+			return zone.draw(kind, drawn/zone.bonus(rule), low)
+		}
+		drawn -= weight
+	}
+	return nil
+}
+
+func (z *zone) bonus(rule rule) int {
+	if z.name == rule.local {
+		return localBonus
+	}
+	return 1
+}
+
+// weight returns the sum of the weights of the agents with levels from low to high. Long work gets
+// nothing in a zone where it holds its share.
+func (z *zone) weight(kind lane, rule rule, low, high int) int {
+	if kind == limited && z.long >= longLimit(z.slots, rule) {
+		return 0
+	}
+	total := 0
+	for level := low; level <= min(high, z.index[kind].top()); level++ {
+		total += (level - low + 1) * len(z.index[kind].levels[level])
+	}
+	return total * z.bonus(rule)
+}
+
+// draw returns the agent at a position in the order of weights.
+func (z *zone) draw(kind lane, at, low int) *agent {
+	for level := low; ; level++ {
+		list, weight := z.index[kind].levels[level], level-low+1
+		if at < weight*len(list) {
+			return list[at/weight]
+		}
+		at -= weight * len(list)
+	}
+}
--- a/replay/player/agent.go
+++ b/replay/player/agent.go
@@ -18,8 +18,7 @@
 	zone   int
 	queue  orderer.Queue
 	owners map[specifier.TaskKey]*entry
-	told   []time.Time      // when each entry last got a message
-	sent   []specifier.Load // the load in that message
+	report orderer.Reporter[int] // by entry
 	pushed int
 	dead   bool
 	timer  time.Time
@@ -50,22 +49,31 @@
 	a.step()
 }
 
-// step starts what may start and reports to entries whose view is far off.
+// step starts what may start and reports the load to entries that are misled.
 func (a *agent) step() {
 	now := a.player.time.now
 	if a.dead {
 		return
 	}
+	a.startWaiting()
+	for _, i := range a.report.Due(now, a.queue.Load()) {
+		a.tell(a.player.entries[i], a.player.entries[i].dispatch)
+	}
+	if next := a.queue.Next(); !next.IsZero() && !next.Equal(a.timer) {
+		a.timer = next
+		a.player.time.at(next, a.step)
+	}
+}
+
+// startWaiting drops what is too late and starts what has a slot.
+func (a *agent) startWaiting() {
+	now := a.player.time.now
 	for _, late := range a.queue.Expire(now) {
 		a.refuse(late.TaskKey())
 	}
 	for _, task := range a.queue.Start(now) {
 		a.start(task)
 	}
-	if next := a.queue.Next(); !next.IsZero() && !next.Equal(a.timer) {
-		a.timer = next
-		a.player.time.at(next, a.step)
-	}
 }
 
 func (a *agent) refuse(key specifier.TaskKey) {
@@ -88,14 +96,16 @@
 	a.player.ran(key, run)
 	owner := a.owners[key]
 	delete(a.owners, key)
-	a.step()
+	a.startWaiting()
 	a.tell(owner, func() { owner.done(a, key, ok, run) })
+	a.report.Ended()
+	a.step()
 }
 
 // tell sends a message with the agent's load to an entry.
 func (a *agent) tell(to *entry, deliver func()) {
 	load := a.queue.Load()
-	a.told[to.index], a.sent[to.index] = a.player.time.now, load
+	a.report.Told(a.player.time.now, to.index, load)
 	a.player.send(a.zone, to.zone, func() {
 		to.scheduler.Reported(a.player.time.now, a.member.Identity, load)
 		deliver()
@@ -103,9 +113,12 @@
 }
 
 func newAgent(p *Player, index, zone int, member specifier.Member) *agent {
-	return &agent{player: p, index: index, zone: zone, member: member, queue: orderer.Queue{Slots: member.Slots},
-		owners: make(map[specifier.TaskKey]*entry), told: make([]time.Time, p.trace.Entries),
-		sent: make([]specifier.Load, p.trace.Entries)}
+	a := &agent{player: p, index: index, zone: zone, member: member, queue: orderer.Queue{Slots: member.Slots},
+		owners: make(map[specifier.TaskKey]*entry)}
+	for i := range p.trace.Entries {
+		a.report.Add(epoch, i, a.queue.Load())
+	}
+	return a
 }
 
 // failTime is how long a sick worker or a poison payload takes to fail a task.
--- a/replay/variants.go
+++ b/replay/variants.go
@@ -9,11 +9,18 @@
 
 // variants returns the policies that are compared, plain baselines first.
 func variants() []player.Variant {
-	baseline := func(uint64, specifier.Member, map[string]specifier.Team) player.Scheduler {
-		return &scheduler.Scheduler{}
-	}
+	byWidth := orderer.ByWidth{Penalty: orderer.TaskPenalty}
 	return []player.Variant{
-		{Name: "first, by arrival", Order: orderer.ByArrival{}, NewScheduler: baseline},
-		{Name: "first", Order: orderer.ByWidth{Penalty: orderer.TaskPenalty}, NewScheduler: baseline},
+		{Name: "random, FIFO", Order: orderer.ByArrival{}, FIFO: true, NewScheduler: engine[scheduler.Random]},
+		{Name: "two choices, FIFO", Order: orderer.ByArrival{}, FIFO: true, NewScheduler: engine[scheduler.TwoChoices]},
+		{Name: "least loaded, FIFO", Order: orderer.ByArrival{}, FIFO: true, NewScheduler: engine[scheduler.LeastLoaded]},
+		{Name: "two choices", Order: byWidth, NewScheduler: engine[scheduler.TwoChoices]},
+		{Name: "late binding, by arrival", Order: orderer.ByArrival{}, NewScheduler: engine[scheduler.LateBinding]},
+		{Name: "late binding", Order: byWidth, NewScheduler: engine[scheduler.LateBinding]},
 	}
 }
+
+// engine returns a scheduler with a placement.
+func engine[P any, T scheduler.Placement[P]](seed uint64, self specifier.Member, _ map[string]specifier.Team) player.Scheduler {
+	return &scheduler.Engine[P, T]{Zone: self.Zone, Seed: seed}
+}
