Check the promises over recorded events

Tests and the local program need one place that decides whether a run kept the promises, independent of the code that runs it.

core/verifier checks seven rules over recorded events: one start for each task, true refusals, whole answers, one answer for each submission, no contradiction between answers, fences and drains. Facts says which jobs are repeatable and how many tasks a job has. Only the refusal rule compares times of two processes, for a refusal before acceptance.

core/recorder gains MemberDraining, MemberResumed and MemberDown, which the drain and repeat rules need, and one format for the detail of JobAnswered. Event.Process is the run's identity, so that restarts do not share a lane.

Each rule has sequences that violate it and sequences that do not.

--- /dev/null
+++ b/core/recorder/answered_test.go
@@ -0,0 +1,22 @@
+package recorder
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/specifier"
+)
+
+func assertAnswered(t *testing.T, answer specifier.Answer) {
+	t.Helper()
+	want := Answered{Outcome: answer.Outcome, Reason: answer.Reason, Note: answer.Detail}
+	must.Eq(t, want, ParseAnswer(AnswerDetail(answer)))
+}
+
+// Guards against a writer and a reader of the answer's detail that disagree.
+func TestAnswerDetailRoundTrip(t *testing.T) {
+	t.Run("complete", func(t *testing.T) { assertAnswered(t, specifier.Answer{Outcome: specifier.Complete}) })
+	t.Run("reason", func(t *testing.T) { assertAnswered(t, specifier.Refuse(specifier.NoWorker, "")) })
+	t.Run("note", func(t *testing.T) { assertAnswered(t, specifier.Refuse(specifier.Overloaded, "queue: 10,000 tasks")) })
+}
--- a/core/recorder/kind.go
+++ b/core/recorder/kind.go
@@ -18,4 +18,8 @@
 	TaskEnded    Kind = "TaskEnded"    // the upstream answered
 	TaskRefused  Kind = "TaskRefused"  // the agent did not start the task and will not
 	JobFenced    Kind = "JobFenced"    // the agent refuses lower epochs of the job from now on
+
+	MemberDraining Kind = "MemberDraining" // this process finishes what it has and takes nothing new
+	MemberResumed  Kind = "MemberResumed"  // this process takes work again
+	MemberDown     Kind = "MemberDown"     // this process learned that the run Other is recorded as down
 )
--- /dev/null
+++ b/core/recorder/process.go
@@ -0,0 +1,15 @@
+package recorder
+
+import "strings"
+
+// ProcessName returns the member name of a process: the part before the incarnation.
+func ProcessName(process string) string {
+	name, _, _ := strings.Cut(process, "/")
+	return name
+}
+
+// Names reports whether peer, from Event.Other, names process. A peer without an incarnation
+// names every run of its process.
+func Names(peer, process string) bool {
+	return peer == process || peer == ProcessName(process)
+}
--- /dev/null
+++ b/core/verifier/drain.go
@@ -0,0 +1,31 @@
+package verifier
+
+import (
+	"fmt"
+	"time"
+
+	"oleandertally/core/recorder"
+)
+
+// drainHolds compares times on the agent's own clock only.
+func drainHolds(events []recorder.Event, bound time.Duration) []Violation {
+	var found []Violation
+	drains := make(map[string]recorder.Event)
+	for _, event := range events {
+		drain, draining := drains[event.Process]
+		switch event.Kind {
+		case recorder.MemberDraining:
+			if !draining {
+				drains[event.Process] = event
+			}
+		case recorder.MemberResumed:
+			delete(drains, event.Process)
+		case recorder.TaskStarted:
+			if draining && event.At.After(drain.At.Add(bound)) {
+				found = append(found, Violation{Rule: DrainHolds, Event: event, Others: []recorder.Event{drain},
+					Detail: fmt.Sprintf("started %v after the drain, expected at most %v", event.At.Sub(drain.At), bound)})
+			}
+		}
+	}
+	return found
+}
