Run the whole path: the local program replays a job file over real streams

Cause: the parts had not run together. Change: assembler (a site in one process), imitator (stand-in upstream with a log of starts), submitter (open-loop replay), a report that checks the promises. Writes of the controllers are not stored yet.

--- a/core/mailer/mailbox.go
+++ b/core/mailer/mailbox.go
@@ -27,3 +27,14 @@
 		return context.Cause(ctx)
 	}
 }
+
+// Receive returns the next event, or the context's error once ctx ends.
+func (m *Mailbox[E]) Receive(ctx context.Context) (E, error) {
+	select {
+	case event := <-m.events:
+		return event, nil
+	case <-ctx.Done():
+		var zero E
+		return zero, context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/local/replaycommand.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleandertally/core/specifier"
+	"oleandertally/local/assembler"
+	"oleandertally/local/imitator"
+	"oleandertally/local/submitter"
+	"oleandertally/replay/tracer"
+)
+
+// roundTrip is from a caller to an entry and back; on loopback it is all but nothing.
+const roundTrip = time.Millisecond
+
+// replayCommand is the local program.
+type replayCommand struct {
+	jobs    string
+	starts  string
+	serve   bool
+	verbose bool
+	out     io.Writer
+}
+
+// run returns the exit code: 0 when every promise held, 1 when one was broken.
+func (c *replayCommand) run(ctx context.Context) (int, error) {
+	trace, err := readTrace(c.jobs)
+	if err != nil {
+		return 0, err
+	}
+	starts := &imitator.StartLog{}
+	if c.serve && c.starts == "" {
+		c.starts = "starts.log"
+	}
+	if c.starts != "" {
+		file, err := os.Create(c.starts)
+		if err != nil {
+			return 0, errors.Wrap(err, "create the log of starts")
+		}
+		defer file.Close()
+		starts.Out = file
+	}
+	site := c.site(starts)
+	if err := site.Start(ctx); err != nil {
+		return 0, errors.CombineErrors(err, site.Stop())
+	}
+	if c.serve {
+		c.printAddresses(site)
+		<-ctx.Done()
+		return 0, site.Stop()
+	}
+	began := time.Now()
+	sender := &submitter.Submitter{Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, Prefix: trace.Name}
+	for i := range site.Entries {
+		sender.Entries = append(sender.Entries, site.Layout.Entry(i))
+	}
+	results, err := sender.Replay(ctx, trace)
+	if err != nil {
+		return 0, errors.CombineErrors(err, site.Stop())
+	}
+	took := time.Since(began)
+	if err := site.Stop(); err != nil {
+		return 0, err
+	}
+	report := newReport(trace, results, site, starts, took)
+	report.print(c.out)
+	if len(report.broken) > 0 {
+		return 1, nil
+	}
+	return 0, nil
+}
+
+func readTrace(path string) (tracer.Trace, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return tracer.Trace{}, errors.Wrap(err, "open the job file")
+	}
+	defer file.Close()
+	trace, err := tracer.Read(file)
+	return trace, errors.Wrapf(err, "%s", path)
+}
+
+// site has the zones, racks and slots of Alisio today. Without -serve its addresses are random
+// within 127.0.0.0/8, so that two runs at once do not clash.
+func (c *replayCommand) site(starts *imitator.StartLog) *assembler.Site {
+	base := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), 0, 0})
+	if c.serve {
+		base = netip.AddrFrom4([4]byte{127, 1, 0, 0})
+	}
+	log := zerolog.Nop()
+	if c.verbose {
+		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	return &assembler.Site{
+		Layout: assembler.Layout{Base: base}, Zones: []string{"alajuela", "heredia", "cartago"}, Service: "reservas",
+		Entries: 2, Controllers: 3, Workers: 11, MemberLease: 3 * time.Second, Starts: starts, Log: log,
+		Profiles: []specifier.Profile{
+			{Name: "hold", Service: "reservas"},
+			{Name: "quote", Service: "reservas", Repeatable: true},
+			{Name: "mix", Service: "reservas", TypicalTime: 600 * time.Millisecond},
+			{Name: "batch", Service: "reservas", TypicalTime: 15 * time.Second, Repeatable: true},
+		},
+	}
+}
+
+func (c *replayCommand) printAddresses(site *assembler.Site) {
+	fmt.Fprintf(c.out, "ready; stop with Ctrl-C\n")
+	for i := range site.Entries {
+		fmt.Fprintf(c.out, "entry-%d       http://%s/v1/jobs\n", i+1, site.Layout.Entry(i))
+	}
+	for i := range site.Controllers {
+		fmt.Fprintf(c.out, "controller-%d  %s\n", i+1, site.Layout.Controller(i))
+	}
+	fmt.Fprintf(c.out, "profiles      hold, quote (repeatable), mix, batch (repeatable)\nstarts        %s\n\n", c.starts)
+	fmt.Fprintf(c.out, `curl -s -H 'Idempotency-Key: hold-1' -d '{"Team":"web","Profile":"hold","TimeLeft":"5s","Tasks":[{"Id":"slot-9","Payload":{"RunMillis":200}}]}' http://%s/v1/jobs`+"\n",
+		site.Layout.Entry(0))
+}
--- /dev/null
+++ b/local/submitter/result.go
@@ -0,0 +1,18 @@
+package submitter
+
+import (
+	"time"
+
+	"oleandertally/entry/answerer"
+	"oleandertally/replay/tracer"
+)
+
+// Result is what became of one job.
+type Result struct {
+	Job      tracer.Job
+	Key      string
+	Response answerer.Response
+	Status   int
+	Took     time.Duration
+	Err      error // the request got no answer
+}
