Add the write-ahead log with group commit

Cause: a controller must not confirm what its disk does not hold, and nothing stored the log or the hard state. Change: state/journaler keeps segments of checksummed frames in a locked data folder. Files only grow; truncation, reset, compaction and hard state are operations in the same frames, so one sync covers them in order. A damaged frame with a later frame behind it was synced once and is refused with file, offset and what to do; at the end of the last segment it is a torn tail, cut and logged. A failed write or sync is permanent. Syncer commits everything that waits with one sync.

--- /dev/null
+++ b/state/journaler/number.go
@@ -0,0 +1,5 @@
+package journaler
+
+import "fmt"
+
+func itoa[N int | uint32 | uint64](n N) string { return fmt.Sprint(n) }
--- /dev/null
+++ b/state/journaler/open.go
@@ -0,0 +1,175 @@
+package journaler
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Open reads the whole log and prepares the journal for Commit. It returns a *Damage for
+// content that differs from what was synced.
+func (j *Journal) Open() (Content, error) {
+	if j.SegmentSize <= 0 {
+		j.SegmentSize = DefaultSegmentSize
+	}
+	segments, err := j.segments()
+	if err != nil {
+		return Content{}, err
+	}
+	r := &replay{}
+	j.frame = 1
+	for i := range segments {
+		if err := j.read(&segments[i], r, i == 0, i == len(segments)-1); err != nil {
+			return Content{}, err
+		}
+	}
+	if !r.begun {
+		j.disk = j.Disk
+		if err := j.begin(1); err != nil {
+			return Content{}, j.fail(err)
+		}
+		return Content{Disk: j.disk}, nil
+	}
+	if cause := r.missing(); cause != "" {
+		return Content{}, &Damage{File: segments[0].name(), Cause: cause}
+	}
+	return r.content, j.resume(r)
+}
+
+// segments returns the files of the log and refuses a gap in their numbers.
+func (j *Journal) segments() ([]segment, error) {
+	names, err := j.Folder.Names()
+	if err != nil {
+		return nil, errors.Wrap(err, "list data folder")
+	}
+	var segments []segment
+	for _, name := range names {
+		next, ok := parseSegment(name)
+		if !ok {
+			continue
+		}
+		if n := len(segments); n > 0 && segments[n-1].number+1 != next.number {
+			cause := fmt.Sprintf("segment %d is missing", segments[n-1].number+1)
+			return nil, &Damage{File: segments[n-1].name(), Cause: cause}
+		}
+		segments = append(segments, next)
+	}
+	return segments, nil
+}
+
+// read replays one segment. Only the last segment may have a torn tail.
+func (j *Journal) read(s *segment, r *replay, first, last bool) error {
+	file, err := j.Folder.Open(s.name())
+	if err != nil {
+		return errors.Wrapf(err, "open %s", s.name())
+	}
+	size, err := file.Size()
+	if err != nil {
+		file.Close()
+		return errors.Wrapf(err, "size of %s", s.name())
+	}
+	offset, cause, err := j.frames(file, s, r, first, size)
+	if err != nil {
+		file.Close()
+		return err
+	}
+	// A segment whose predecessors are removed was durable before they were.
+	if cause != "" && (!last || first && offset == 0 && s.number > 1) {
+		file.Close()
+		return &Damage{File: s.name(), Offset: offset, Cause: cause}
+	}
+	if cause != "" {
+		if err := j.cut(file, s, offset, size, cause); err != nil {
+			file.Close()
+			return err
+		}
+	}
+	if offset == 0 {
+		return j.discard(file, s)
+	}
+	return j.keep(file, s, offset)
+}
+
+// frames replays frames until the end of the file or the first one that is not valid, and
+// returns its offset and what is wrong with it.
+func (j *Journal) frames(file File, s *segment, r *replay, first bool, size int64) (int64, string, error) {
+	reader := bufio.NewReaderSize(file, 1<<16)
+	var offset int64
+	for offset < size {
+		if first && offset == 0 {
+			if raw, err := reader.Peek(headerSize); err == nil {
+				if h, ok := parseHeader(raw); ok {
+					j.frame = h.number // earlier segments are removed
+				}
+			}
+		}
+		operations, length, cause, err := readFrame(reader, j.frame)
+		if err != nil {
+			return 0, "", errors.Wrapf(err, "read %s at offset %d", s.name(), offset)
+		}
+		if cause != "" {
+			return offset, cause, nil
+		}
+		for i, operation := range operations {
+			if (i == 0 && offset == 0) != (operation.GetSegment() != nil) {
+				return 0, "", &Damage{File: s.name(), Offset: offset, Cause: "expected a segment operation first and only there"}
+			}
+			// The checksum is right, so this is not a torn write.
+			if cause := r.apply(operation, s); cause != "" {
+				return 0, "", &Damage{File: s.name(), Offset: offset, Cause: cause}
+			}
+		}
+		offset += length
+		j.frame++
+	}
+	if size == 0 {
+		return 0, "the file is empty", nil
+	}
+	return offset, "", nil
+}
+
+// cut removes a torn tail, unless a later frame proves that the damaged one was synced.
+func (j *Journal) cut(file File, s *segment, offset, size int64, cause string) error {
+	later, err := laterFrame(bufio.NewReader(io.NewSectionReader(file, offset+1, size-offset-1)), j.frame)
+	if err != nil {
+		return errors.Wrapf(err, "read %s after offset %d", s.name(), offset)
+	}
+	if later {
+		return &Damage{File: s.name(), Offset: offset, Cause: cause + ", and a later frame follows"}
+	}
+	j.Log.Warn().Str("File", s.name()).Int64("Offset", offset).Int64("Bytes", size-offset).Str("Cause", cause).
+		Msg("cut the torn tail of the journal")
+	if err := file.Truncate(offset); err != nil {
+		return errors.Wrapf(err, "truncate %s", s.name())
+	}
+	return errors.Wrapf(file.Sync(), "sync %s", s.name())
+}
+
+// discard removes a segment whose creation was interrupted.
+func (j *Journal) discard(file File, s *segment) error {
+	file.Close()
+	if err := j.Folder.Remove(s.name()); err != nil {
+		return errors.Wrapf(err, "remove %s", s.name())
+	}
+	return errors.Wrap(j.Folder.Sync(), "sync data folder")
+}
+
+// keep records the segment; the last one that is kept becomes the active one.
+func (j *Journal) keep(file File, s *segment, size int64) error {
+	if j.file != nil {
+		j.sealed = append(j.sealed, j.active)
+		if err := j.file.Close(); err != nil {
+			return errors.Wrapf(err, "close %s", j.active.name())
+		}
+	}
+	j.file, j.active, j.size = file, *s, size
+	return nil
+}
+
+// resume takes over the replayed state.
+func (j *Journal) resume(r *replay) error {
+	j.disk, j.state, j.base, j.last = r.content.Disk, r.content.State, r.content.Base, r.last
+	return j.removeCompacted()
+}
--- /dev/null
+++ b/state/journaler/syncer_test.go
@@ -0,0 +1,63 @@
+package journaler
+
+import (
+	"context"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/core/mailer"
+)
+
+// run commits the requests and returns what was reported, and why the syncer ended.
+func run(t *testing.T, folder *fakeFolder, requests ...Request) ([]uint64, error) {
+	journal, _ := open(t, folder, 0)
+	folder.syncs = 0
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var reported []uint64
+	last := requests[len(requests)-1].Write
+	syncer := &Syncer{Journal: journal, Queue: mailer.NewOutbox[Request](), Report: func(write uint64) {
+		reported = append(reported, write)
+		if write == last {
+			cancel()
+		}
+	}}
+	for _, request := range requests {
+		syncer.Queue.Put(request)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return syncer.Run(ctx) })
+	err := group.Wait()
+	return reported, err
+}
+
+// Guards against one sync for each request, which would bound acceptance by the disk.
+func TestSyncerSharesOneSync(t *testing.T) {
+	folder := newFakeFolder()
+	reported, err := run(t, folder, Request{1, records(1, 2, 1)}, Request{0, Compact{1}}, Request{2, Persist{State{Term: 2}}},
+		Request{3, records(3, 3, 2)})
+	must.ErrorIs(t, err, context.Canceled)
+	must.Eq(t, []uint64{3}, reported)
+	must.Eq(t, 1, folder.syncs)
+	mustHold(t, folder.crash(0), 0, Content{Base: 1, State: State{Term: 2},
+		Records: append(records(2, 2, 1).Records, records(3, 3, 2).Records...)})
+}
+
+// Guards against a report for requests whose sync failed.
+func TestSyncerStopsOnFailure(t *testing.T) {
+	folder := newFakeFolder()
+	journal, _ := open(t, folder, 0)
+	must.NoError(t, journal.Close())
+	folder.failSync = nil
+	queue := mailer.NewOutbox[Request]()
+	journal, _ = open(t, folder, 0)
+	folder.failSync = syscall.EIO
+	syncer := &Syncer{Journal: journal, Queue: queue, Report: func(uint64) { t.Error("reported after a failed sync") }}
+	queue.Put(Request{1, records(1, 1, 1)})
+	err := syncer.Run(t.Context())
+	must.ErrorIs(t, err, ErrFailed)
+	must.ErrorIs(t, err, syscall.EIO)
+}
