--- /dev/null
+++ b/core/operator/client.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"oleandertally/core/encoder"
+	"oleandertally/core/recorder"
+	"oleandertally/core/sequencer"
+	"oleandertally/core/specifier"
+)
+
+// Client calls the controllers until the leader answers. Fields are set before use.
+type Client struct {
+	Controllers []netip.AddrPort
+	Attempt     time.Duration                                    // limit of one call
+	Rounds      int                                              // times that every controller is tried
+	Between     time.Duration                                    // from one round to the next: an election can be under way
+	Pause       func(ctx context.Context, d time.Duration) error // waits, or returns the context's error
+	Clock       func() time.Time
+}
+
+// Read returns the state with the configuration at revision; 0 is the one in force. It returns
+// ErrNotHeld when the leader does not hold the revision.
+func (c *Client) Read(ctx context.Context, revision specifier.Revision) (State, error) {
+	return follow(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (State, error) {
+		reply, err := encoder.NewOperatorClient(conn).Read(ctx, &encoder.ReadRequest{Revision: uint64(revision)})
+		if err != nil {
+			return State{}, err
+		}
+		if reply.GetNotLeader() {
+			return State{}, &NotLeaderError{Leader: decodeAddr(&specifier.Problems{}, "Leader", reply.GetLeader())}
+		}
+		return DecodeState(reply)
+	})
+}
+
+// Change proposes command, a ChangeConfiguration or a DrainMember, and returns the decision. Its
+// effect is the same when it arrives more than once, so it is sent again after a lost answer.
+func (c *Client) Change(ctx context.Context, request, operator string, command specifier.Command) (specifier.Decision, error) {
+	message := &encoder.ChangeRequest{RequestId: request, Operator: operator, Command: encoder.EncodeCommand(command)}
+	return follow(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (specifier.Decision, error) {
+		reply, err := encoder.NewOperatorClient(conn).Change(ctx, message)
+		if err != nil {
+			return specifier.Decision{}, err
+		}
+		decision, err := encoder.DecodeDecision(reply.GetDecision())
+		if err == nil && decision.Verdict == specifier.NotLeader {
+			return specifier.Decision{}, &NotLeaderError{Leader: decision.Leader}
+		}
+		return decision, err
+	})
+}
+
+// Gather returns the events of the process at addr that filter selects, without its span.
+func (c *Client) Gather(ctx context.Context, addr netip.AddrPort, filter recorder.Filter) (sequencer.Log, error) {
+	request := &encoder.EventsRequest{Worker: filter.Worker}
+	if filter.Job != (specifier.JobID{}) {
+		request.Job = filter.Job[:]
+	}
+	return call(ctx, c, addr, func(ctx context.Context, conn *grpc.ClientConn) (sequencer.Log, error) {
+		asked := c.Clock()
+		reply, err := encoder.NewTimelineClient(conn).Gather(ctx, request)
+		if err != nil {
+			return sequencer.Log{}, err
+		}
+		return decodeLog(reply, asked, c.Clock())
+	})
+}
+
+func decodeLog(reply *encoder.EventList, asked, answered time.Time) (sequencer.Log, error) {
+	log := sequencer.Log{Asked: asked, Answered: answered, Now: time.Unix(0, reply.GetNow()), Dropped: int(reply.GetDropped())}
+	if len(reply.GetItems()) > maxEvents {
+		return log, errors.Newf("Items: has %d events, expected at most %d", len(reply.GetItems()), maxEvents)
+	}
+	for i, item := range reply.GetItems() {
+		event, err := DecodeEvent(item)
+		if err != nil {
+			return log, errors.Wrapf(err, "Items[%d]", i)
+		}
+		log.Events = append(log.Events, event)
+	}
+	return log, nil
+}
--- /dev/null
+++ b/core/operator/memberload.go
@@ -0,0 +1,9 @@
+package operator
+
+import "oleandertally/core/specifier"
+
+// MemberLoad is the load of one run of a member.
+type MemberLoad struct {
+	Identity specifier.Identity
+	Load     specifier.Load
+}
--- /dev/null
+++ b/core/operator/propose.go
@@ -0,0 +1,11 @@
+package operator
+
+import (
+	"context"
+
+	"oleandertally/core/specifier"
+)
+
+// Propose proposes command and waits for its decision. An error means that the decision is not
+// known; the command may be applied.
+type Propose func(ctx context.Context, command specifier.Command) (specifier.Decision, error)
--- /dev/null
+++ b/core/operator/read.go
@@ -0,0 +1,12 @@
+package operator
+
+import (
+	"context"
+
+	"oleandertally/core/specifier"
+)
+
+// Read returns the state, with the configuration at revision, or in force when revision is 0. It
+// returns a *NotLeaderError on a controller that does not lead, and ErrNotHeld for a revision
+// that is unknown or no longer held.
+type Read func(ctx context.Context, revision specifier.Revision) (State, error)
--- /dev/null
+++ b/core/operator/state.go
@@ -0,0 +1,22 @@
+package operator
+
+import "oleandertally/core/specifier"
+
+// State is what the leading controller tells an operator.
+type State struct {
+	Configuration specifier.Configuration // at the revision that was asked for
+	Operator      string                  // who made the newest change
+	Members       []specifier.Member      // by name
+	Loads         []MemberLoad            // of the members whose load the leader knows
+	Controllers   []ControllerStatus
+}
+
+// Load returns the load of a member, and whether it is known.
+func (s State) Load(id specifier.Identity) (specifier.Load, bool) {
+	for _, load := range s.Loads {
+		if load.Identity == id {
+			return load.Load, true
+		}
+	}
+	return specifier.Load{}, false
+}
