--- a/core/specifier/limits.go
+++ b/core/specifier/limits.go
@@ -15,7 +15,7 @@
 	// every finished submission, so it is short.
 	MaxDetail = 256
 	// MaxReport is the longest Detail of a decision, in bytes: room for all Problems of a change.
-	MaxReport = 8 << 10
+	MaxReport = 4 << 10
 	// MaxProfiles is the largest number of profiles in a configuration.
 	MaxProfiles = 1024
 	// MaxTeams is the largest number of teams in a configuration; 220 are expected.
@@ -33,6 +33,14 @@
 	MaxName = 128
 	// MaxTimeLeft bounds how far ahead a deadline may lie.
 	MaxTimeLeft = time.Hour
+	// MaxRequests is the largest number of remembered configuration changes, two days of the
+	// expected 3,800 a day.
+	MaxRequests = 8192
+	// RequestRetention is how long a configuration change is remembered for a resend.
+	RequestRetention = 24 * time.Hour
+	// MaxRestarts is the largest number of incarnations of one name that are remembered as Down,
+	// so that one process that keeps crashing cannot use up MaxDeparted.
+	MaxRestarts = 64
 	// KeyRetention is how long a key is remembered after its job's deadline.
 	KeyRetention = 10 * time.Minute
 )
--- a/state/registrar/changes.go
+++ b/state/registrar/changes.go
@@ -2,39 +2,58 @@
 
 import (
 	"fmt"
-	"maps"
 
 	"oleandertally/core/specifier"
 )
 
+// change decides a configuration change once: a resend gets the first decision, with the
+// revision of that time.
 func (r *Registrar) change(c specifier.ChangeConfiguration) specifier.Decision {
-	if first, ok := r.requests[c.RequestID]; ok {
-		return first
+	if c.RequestID == "" || len(c.RequestID) > specifier.MaxName {
+		return r.rejectChange(fmt.Sprintf("RequestId: has %d bytes, expected 1 to %d", len(c.RequestID), specifier.MaxName))
 	}
-	if c.From != r.configuration.Revision {
-		return specifier.Decision{Verdict: specifier.Conflict, Operator: r.changed,
-			Detail: fmt.Sprintf("made from revision %d, but %d is in force", c.From, r.configuration.Revision)}
+	content := c.Digest()
+	if first, ok := r.requests.find(c.RequestID); ok {
+		if first.digest == content {
+			return first.decision
+		}
+		return r.rejectChange(fmt.Sprintf("RequestId: %q was used by %s for another change", c.RequestID, first.operator))
 	}
-	next := specifier.Configuration{
-		Revision: r.configuration.Revision + 1,
-		Profiles: maps.Clone(r.configuration.Profiles),
-		Teams:    maps.Clone(r.configuration.Teams),
-	}
-	for _, profile := range c.Profiles {
-		next.Profiles[profile.Name] = profile
-	}
-	for _, name := range c.RemoveProfiles {
-		delete(next.Profiles, name)
+	decision := r.decideChange(c)
+	r.requests.add(request{id: c.RequestID, digest: content, operator: c.Operator, decision: decision,
+		keep: r.now.Add(specifier.RequestRetention)})
+	return decision
+}
+
+func (r *Registrar) decideChange(c specifier.ChangeConfiguration) specifier.Decision {
+	inForce := r.configuration.Revision
+	if c.From > inForce {
+		return r.rejectChange(fmt.Sprintf("From: is %d, expected at most %d, the revision in force", c.From, inForce))
 	}
-	for _, team := range c.Teams {
-		next.Teams[team.Name] = team
+	if c.From < inForce {
+		return r.lostRace(c)
 	}
-	for _, name := range c.RemoveTeams {
-		delete(next.Teams, name)
+	if found := c.Check(r.configuration); found != nil {
+		return r.rejectChange(found.Error())
 	}
-	r.configuration = next
+	r.configuration = c.Apply(r.configuration)
 	r.changed = c.Operator
-	decision := specifier.Decision{Verdict: specifier.Applied, Revision: next.Revision}
-	r.requests[c.RequestID] = decision
+	return specifier.Decision{Verdict: specifier.Applied, Revision: r.configuration.Revision}
+}
+
+// lostRace names the operator whose change was made from the same revision and won. When that
+// change is no longer remembered, it names the operator of the newest one.
+func (r *Registrar) lostRace(c specifier.ChangeConfiguration) specifier.Decision {
+	inForce := r.configuration.Revision
+	decision := specifier.Decision{Verdict: specifier.Conflict, Revision: inForce, Operator: r.changed,
+		Detail: fmt.Sprintf("From: is %d, but %d is in force", c.From, inForce)}
+	if winner, ok := r.requests.made(c.From + 1); ok {
+		decision.Operator = winner.operator
+		decision.Detail += fmt.Sprintf("; %s made revision %d from it with request %q", winner.operator, c.From+1, winner.id)
+	}
 	return decision
 }
+
+func (r *Registrar) rejectChange(detail string) specifier.Decision {
+	return specifier.Decision{Verdict: specifier.Rejected, Revision: r.configuration.Revision, Detail: detail}
+}
--- a/state/registrar/departure.go
+++ b/state/registrar/departure.go
@@ -11,6 +11,6 @@
 type departure struct {
 	identity specifier.Identity
 	role     specifier.Role
-	index    uint64
+	index    uint64 // of the batch that recorded it
 	keep     time.Time
 }
--- a/state/registrar/expiry.go
+++ b/state/registrar/expiry.go
@@ -1,21 +1,21 @@
 package registrar
 
 import (
-	"time"
+	"bytes"
 
 	"oleandertally/core/specifier"
 )
 
 // expiry is an entry of the heap of submissions by the time until which they are kept.
 type expiry struct {
-	keep time.Time
+	keep seconds
 	job  specifier.JobID
 }
 
 // less breaks ties by job, so that every replica forgets in the same order.
 func (e expiry) less(other expiry) bool {
-	if !e.keep.Equal(other.keep) {
-		return e.keep.Before(other.keep)
+	if e.keep != other.keep {
+		return e.keep < other.keep
 	}
-	return string(e.job[:]) < string(other.job[:])
+	return bytes.Compare(e.job[:], other.job[:]) < 0
 }
--- /dev/null
+++ b/state/registrar/property_test.go
@@ -0,0 +1,202 @@
+package registrar
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"oleandertally/core/specifier"
+)
+
+// drawCommand draws from few jobs, members and request ids, so that commands meet.
+func drawCommand(t *rapid.T) specifier.Command {
+	job := rapid.SampledFrom([]byte{1, 1, 1, 2}).Draw(t, "job")
+	owner := identity(rapid.SampledFrom([]string{"entry-1", "entry-2"}).Draw(t, "entry"),
+		rapid.SampledFrom([]uint64{1, 1, 1, 1, 2, 3}).Draw(t, "incarnation"))
+	epoch := rapid.SampledFrom([]specifier.Epoch{1, 1, 1, 2, 2, 3}).Draw(t, "epoch")
+	left := rapid.SampledFrom([]time.Duration{0, 0, time.Minute, time.Hour}).Draw(t, "left")
+	switch rapid.IntRange(0, 14).Draw(t, "command") {
+	case 0, 1:
+		command := takeOver(job, owner, epoch)
+		command.TimeLeft = left
+		return command
+	case 2, 3:
+		return finish(job, owner, epoch, rapid.SampledFrom([]specifier.Reason{specifier.TaskFailed, specifier.TimedOut}).Draw(t, "reason"))
+	case 4:
+		return specifier.ReleaseJob{Job: specifier.JobID{job}, Owner: owner, Epoch: epoch}
+	case 5:
+		return specifier.CancelJob{Job: specifier.JobID{job}}
+	case 6:
+		return specifier.JoinMember{Member: member(specifier.Entry, owner)}
+	case 7, 8:
+		return specifier.EndMember{Identity: owner}
+	case 9:
+		id := fmt.Sprint(rapid.IntRange(1, 5).Draw(t, "request"))
+		return change(id, owner.Name, specifier.Revision(rapid.IntRange(0, 4).Draw(t, "from")), "a")
+	case 10:
+		return specifier.DrainMember{Name: owner.Name, Draining: rapid.Bool().Draw(t, "draining")}
+	}
+	command := accept(job, owner)
+	command.Digest[1] = rapid.SampledFrom([]byte{0, 0, 0, 1}).Draw(t, "body")
+	command.Revision = rapid.SampledFrom([]specifier.Revision{1, 100, 100}).Draw(t, "revision")
+	command.TimeLeft = left
+	return command
+}
+
+// drawBatches begins with two entries that are up. Some advances end just before, at or after the
+// time of a key.
+func drawBatches(t *rapid.T) []Batch {
+	joins := Batch{Commands: []specifier.Command{specifier.JoinMember{Member: member(specifier.Entry, identity("entry-1", 1))},
+		specifier.JoinMember{Member: member(specifier.Entry, identity("entry-2", 1))}}}
+	return append([]Batch{joins}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Batch {
+		seconds := rapid.SampledFrom([]int{0, 0, 0, 0, 1, 60, 599, 602, 4300}).Draw(t, "advance")
+		return Batch{Advance: time.Duration(seconds) * time.Second,
+			Commands: rapid.SliceOfN(rapid.Custom(drawCommand), 0, 6).Draw(t, "commands")}
+	}), 1, 40).Draw(t, "batches")...)
+}
+
+// Guards against replicas that decide differently, and a replica that starts from a snapshot.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batches := drawBatches(t)
+		at := rapid.IntRange(0, len(batches)).Draw(t, "snapshot at")
+		whole, again, copied := New(3), New(3), New(3)
+		for i, batch := range batches {
+			if i == at {
+				copied = restored(t, copied)
+			}
+			index := uint64(i) + 1
+			decisions := whole.Apply(index, batch)
+			must.Eq(t, decisions, again.Apply(index, batch))
+			must.Eq(t, decisions, copied.Apply(index, batch))
+		}
+		mustEncodeSame(t, whole, again)
+		mustEncodeSame(t, whole, copied)
+		mustEncodeSame(t, whole, restored(t, whole))
+	})
+}
+
+// history records what a registrar promised and checks each decision against it.
+type history struct {
+	registrar *Registrar
+	jobs      map[specifier.JobID]*promised
+	applied   map[string]time.Time // on the log's clock
+	revision  specifier.Revision
+}
+
+// promised is what must hold for one job while it is remembered.
+type promised struct {
+	until  time.Time // on the log's clock
+	epoch  specifier.Epoch
+	owners map[specifier.Epoch]specifier.Identity
+	answer *specifier.Answer
+}
+
+// forget drops the jobs that the registrar forgot, which it may once their time is over.
+func (h *history) forget(t *rapid.T) {
+	for id, job := range h.jobs {
+		if _, remembered := h.registrar.submissions[id]; !remembered {
+			must.False(t, job.until.After(h.registrar.now))
+			delete(h.jobs, id)
+		}
+	}
+}
+
+func (h *history) check(t *rapid.T, command specifier.Command, decision specifier.Decision) {
+	switch command := command.(type) {
+	case specifier.AcceptJob:
+		h.checkJob(t, command.Job, command.Owner, command.TimeLeft, decision)
+	case specifier.TakeOverJob:
+		h.checkJob(t, command.Job, command.Owner, command.TimeLeft, decision)
+	case specifier.FinishJob:
+		h.checkJob(t, command.Job, command.Owner, 0, decision)
+	case specifier.CancelJob:
+		h.checkJob(t, command.Job, specifier.Identity{}, specifier.MaxTimeLeft, decision)
+	case specifier.ChangeConfiguration:
+		h.checkChange(t, command, decision)
+	}
+	must.Eq(t, h.revision, h.registrar.configuration.Revision)
+}
+
+// checkChange allows a new revision only for a request id that was not applied within RequestRetention.
+func (h *history) checkChange(t *rapid.T, command specifier.ChangeConfiguration, decision specifier.Decision) {
+	if h.registrar.configuration.Revision == h.revision {
+		return
+	}
+	h.revision++
+	must.Eq(t, specifier.Applied, decision.Verdict)
+	must.Eq(t, command.From+1, h.revision)
+	if before, ok := h.applied[command.RequestID]; ok {
+		must.GreaterEq(t, specifier.RequestRetention, h.registrar.now.Sub(before))
+	}
+	h.applied[command.RequestID] = h.registrar.now
+}
+
+func (h *history) checkJob(t *rapid.T, id specifier.JobID, owner specifier.Identity, left time.Duration, decision specifier.Decision) {
+	job := h.jobs[id]
+	if job == nil {
+		job = &promised{owners: map[specifier.Epoch]specifier.Identity{}}
+		h.jobs[id] = job
+	}
+	switch decision.Verdict {
+	case specifier.Accepted:
+		must.GreaterEq(t, job.epoch, decision.Epoch)
+		job.epoch = decision.Epoch
+		if before, ok := job.owners[decision.Epoch]; ok {
+			must.Eq(t, before, owner)
+		} else if until := h.registrar.now.Add(left + specifier.KeyRetention); until.After(job.until) {
+			job.until = until
+		}
+		job.owners[decision.Epoch] = owner
+	case specifier.Finished:
+		if job.answer == nil && len(job.owners) == 0 { // cancelled before it was accepted
+			job.until = h.registrar.now.Add(left + specifier.KeyRetention)
+		}
+		if job.answer != nil {
+			must.Eq(t, *job.answer, decision.Answer)
+		}
+		job.answer = &decision.Answer
+	case specifier.Attached:
+		must.Eq(t, job.owners[decision.Epoch], decision.Owner)
+	}
+}
+
+// Guards against a broken promise: two owners under one epoch, an epoch that goes down, an answer
+// that changes, a key forgotten before its time, a request applied twice, a revision that reverts.
+func TestPromisesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{registrar: New(3), jobs: map[specifier.JobID]*promised{}, applied: map[string]time.Time{}}
+		for i, batch := range drawBatches(t) {
+			h.registrar.Apply(uint64(i), Batch{Advance: batch.Advance})
+			h.forget(t)
+			for _, command := range batch.Commands {
+				decision := h.registrar.Apply(uint64(i), Batch{Commands: []specifier.Command{command}})[0]
+				h.check(t, command, decision)
+			}
+		}
+	})
+}
+
+// Guards against a damaged or hostile snapshot that panics or is loaded in part.
+func FuzzDecode(f *testing.F) {
+	b := newBench(f)
+	b.join(specifier.Entry, first)
+	b.want(specifier.Accepted, accept(1, first))
+	b.want(specifier.Finished, finish(1, first, 1, specifier.TaskFailed))
+	b.want(specifier.Finished, specifier.CancelJob{Job: specifier.JobID{2}})
+	b.want(specifier.Applied, change("r", "o", 0, "a"))
+	whole := encoded(f, b.registrar)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add(append(whole[:len(whole):len(whole)], 0))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		decoded, err := Decode(bytes.NewReader(raw), 100)
+		if err == nil {
+			mustEncodeSame(t, decoded, restored(t, decoded))
+		}
+	})
+}
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -9,18 +9,21 @@
 
 // Registrar applies committed batches. It is used by one goroutine.
 type Registrar struct {
-	// MaxSubmissions bounds the remembered submissions; more are refused, none is forgotten early.
+	// MaxSubmissions bounds the remembered submissions; more are refused, none is forgotten
+	// early. It must be the same on every controller, because decisions depend on it.
 	MaxSubmissions int
 
-	now           time.Time // the log's clock
+	now           time.Time // the log's clock, from time.Unix(0, 0)
 	index         uint64
-	submissions   map[specifier.JobID]*submission
+	submissions   map[specifier.JobID]submission
+	owners        collector.Interner[specifier.Identity]
+	answers       collector.Interner[answer]
 	expiring      collector.Heap[expiry]
 	members       map[string]specifier.Member
-	departed      []departure
+	departed      departures
 	draining      map[string]bool // by an operator, outlives restarts of the member
 	configuration specifier.Configuration
-	requests      map[string]specifier.Decision
+	requests      requests
 	changed       string // operator of the newest change
 }
 
@@ -29,11 +32,11 @@
 	return &Registrar{
 		MaxSubmissions: maxSubmissions,
 		now:            time.Unix(0, 0),
-		submissions:    make(map[specifier.JobID]*submission),
+		submissions:    make(map[specifier.JobID]submission),
 		expiring:       collector.Heap[expiry]{Less: expiry.less},
 		members:        make(map[string]specifier.Member),
 		draining:       make(map[string]bool),
-		requests:       make(map[string]specifier.Decision),
+		requests:       requests{byID: make(map[string]request)},
 		configuration: specifier.Configuration{
 			Profiles: make(map[string]specifier.Profile),
 			Teams:    make(map[string]specifier.Team),
@@ -46,14 +49,28 @@
 	r.index = index
 	r.now = r.now.Add(max(batch.Advance, 0))
 	r.forget()
+	r.forgetMembers()
+	r.requests.forget(r.now)
 	decisions := make([]specifier.Decision, len(batch.Commands))
 	for i, command := range batch.Commands {
 		decisions[i] = r.apply(command)
-		decisions[i].Revision = r.configuration.Revision
+		if _, ok := command.(specifier.ChangeConfiguration); !ok {
+			decisions[i].Revision = r.configuration.Revision
+		}
 	}
 	return decisions
 }
 
+// Index returns the index of the last batch applied.
+func (r *Registrar) Index() uint64 { return r.index }
+
+// Submissions returns how many submissions are remembered.
+func (r *Registrar) Submissions() int { return len(r.submissions) }
+
+// Configuration returns the configuration in force. It must not be changed; a later change
+// replaces its maps and leaves them as they are.
+func (r *Registrar) Configuration() specifier.Configuration { return r.configuration }
+
 func (r *Registrar) apply(command specifier.Command) specifier.Decision {
 	switch command := command.(type) {
 	case specifier.AcceptJob:
@@ -77,22 +94,3 @@
 	}
 	return specifier.Decision{Verdict: specifier.Rejected, Detail: "unknown command"}
 }
-
-func (r *Registrar) expire(id specifier.JobID, keep time.Time) {
-	r.expiring.Push(expiry{keep: keep, job: id})
-}
-
-// forget drops the submissions whose time is over. An entry of the heap may be out of date:
-// the submission's own time decides.
-func (r *Registrar) forget() {
-	for {
-		next, ok := r.expiring.Peek()
-		if !ok || next.keep.After(r.now) {
-			return
-		}
-		r.expiring.Pop()
-		if known := r.submissions[next.job]; known != nil && !known.keep.After(r.now) {
-			delete(r.submissions, next.job)
-		}
-	}
-}
--- a/state/registrar/submission.go
+++ b/state/registrar/submission.go
@@ -1,19 +1,13 @@
 package registrar
 
-import (
-	"time"
-
-	"oleandertally/core/specifier"
-)
-
-// submission is the record of one job.
+// submission is the record of one job. It holds no pointers, so that the garbage collector does
+// not visit millions of records.
 type submission struct {
-	digest   specifier.Digest
-	owner    specifier.Identity
-	epoch    specifier.Epoch
-	accepted uint64    // index of the batch that first accepted it
-	keep     time.Time // on the log's clock
-	released bool      // no task has started under epoch and none will
-	finished bool
-	answer   specifier.Answer // without results
+	digest   digest
+	accepted uint64  // index of the batch that accepted it first, or again after a release
+	epoch    uint32  // of its owner
+	keep     seconds // on the log's clock
+	owner    uint32  // number in Registrar.owners
+	answer   uint32  // number in Registrar.answers
+	phase    phase
 }
--- a/state/registrar/submissions.go
+++ b/state/registrar/submissions.go
@@ -7,121 +7,179 @@
 )
 
 func (r *Registrar) accept(c specifier.AcceptJob) specifier.Decision {
-	known := r.submissions[c.Job]
+	known, ok := r.submissions[c.Job]
 	switch {
-	case known == nil && len(r.submissions) >= r.MaxSubmissions:
-		return specifier.Decision{Verdict: specifier.Full}
-	case known != nil && known.digest != c.Digest:
-		return specifier.Decision{Verdict: specifier.Conflict}
-	case known != nil && known.finished:
+	case ok && known.phase == cancelled:
+		return r.finished(known)
+	case ok && known.digest != shorten(c.Digest):
+		return specifier.Decision{Verdict: specifier.Conflict, Detail: "the key was used with another body"}
+	case ok && known.phase == finished:
 		return r.finished(known)
-	case known != nil && !known.released && known.owner == c.Owner:
+	case !r.mayOwn(c.Owner):
+		return specifier.Decision{Verdict: specifier.Fenced, Detail: c.Owner.String() + " is not an entry that is up"}
+	case ok && known.phase == owned && r.owners.Get(known.owner) == c.Owner:
 		// The decision of an earlier proposal was lost on its way.
-		return specifier.Decision{Verdict: specifier.Accepted, Epoch: known.epoch}
-	case known != nil && !known.released:
+		return specifier.Decision{Verdict: specifier.Accepted, Epoch: specifier.Epoch(known.epoch)}
+	case ok && known.phase != released:
+		// An entry that took the job over is attached to itself: tasks of the former owner may
+		// run, so it must propose TakeOverJob again and fence.
 		return r.attached(known)
 	case c.Revision < r.configuration.Revision:
 		return specifier.Decision{Verdict: specifier.Stale}
-	case r.members[c.Owner.Name].Identity != c.Owner || r.members[c.Owner.Name].State == specifier.Down:
-		return specifier.Decision{Verdict: specifier.Fenced}
-	}
-	if known == nil {
-		known = &submission{accepted: r.index}
-		r.submissions[c.Job] = known
+	case !ok && len(r.submissions) >= r.MaxSubmissions:
+		return specifier.Decision{Verdict: specifier.Full}
 	}
-	known.digest, known.owner, known.released = c.Digest, c.Owner, false
+	known.digest, known.accepted, known.phase = shorten(c.Digest), r.index, owned
 	known.epoch++
-	r.keep(c.Job, known, c.TimeLeft)
-	return specifier.Decision{Verdict: specifier.Accepted, Epoch: known.epoch}
+	r.own(&known, c.Owner)
+	r.put(c.Job, known, c.TimeLeft)
+	return specifier.Decision{Verdict: specifier.Accepted, Epoch: specifier.Epoch(known.epoch)}
 }
 
 func (r *Registrar) takeOver(c specifier.TakeOverJob) specifier.Decision {
-	known := r.submissions[c.Job]
+	known, ok := r.submissions[c.Job]
+	owner := r.owners.Get(known.owner)
 	switch {
-	case known == nil:
-		return specifier.Decision{Verdict: specifier.Rejected, Detail: "unknown job"}
-	case known.digest != c.Digest:
-		return specifier.Decision{Verdict: specifier.Conflict}
-	case known.finished:
+	case !ok:
+		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Job: unknown"}
+	case known.phase == cancelled:
+		return r.finished(known)
+	case known.digest != shorten(c.Digest):
+		return specifier.Decision{Verdict: specifier.Conflict, Detail: "the key was used with another body"}
+	case known.phase == finished:
 		return r.finished(known)
-	case !known.released && known.owner == c.Owner:
-		return specifier.Decision{Verdict: specifier.Accepted, Epoch: known.epoch, Departed: r.departedSince(known.accepted)}
-	case known.released || known.epoch != c.Replaces || !r.isDown(known.owner):
+	case known.phase == released:
+		return r.accept(specifier.AcceptJob{Job: c.Job, Digest: c.Digest, Owner: c.Owner, Revision: c.Revision, TimeLeft: c.TimeLeft})
+	case !r.mayOwn(c.Owner):
+		return specifier.Decision{Verdict: specifier.Fenced, Detail: c.Owner.String() + " is not an entry that is up"}
+	case owner == c.Owner:
+		return r.tookOver(known)
+	case specifier.Epoch(known.epoch) != c.Replaces || r.isUp(owner):
 		return r.attached(known)
 	case c.Revision < r.configuration.Revision:
 		return specifier.Decision{Verdict: specifier.Stale}
-	case r.members[c.Owner.Name].Identity != c.Owner || r.isDown(c.Owner):
-		return specifier.Decision{Verdict: specifier.Fenced}
 	}
-	known.owner = c.Owner
+	known.phase = takenOver
 	known.epoch++
-	r.keep(c.Job, known, c.TimeLeft)
-	return specifier.Decision{Verdict: specifier.Accepted, Epoch: known.epoch, Departed: r.departedSince(known.accepted)}
+	r.own(&known, c.Owner)
+	r.put(c.Job, known, c.TimeLeft)
+	r.departed.extend(known.accepted, r.keepTime(c.TimeLeft).Add(2*keepMargin))
+	return r.tookOver(known)
 }
 
 func (r *Registrar) finish(c specifier.FinishJob) specifier.Decision {
-	known := r.submissions[c.Job]
+	known, ok := r.submissions[c.Job]
+	owner := r.owners.Get(known.owner) == c.Owner && specifier.Epoch(known.epoch) == c.Epoch
 	switch {
-	case known == nil:
-		return specifier.Decision{Verdict: specifier.Rejected, Detail: "unknown job"}
-	case known.finished && known.owner == c.Owner && known.epoch == c.Epoch:
-		return r.finished(known)
-	case known.finished || known.released || known.owner != c.Owner || known.epoch != c.Epoch:
+	case !ok:
+		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Job: unknown"}
+	case c.Answer.Outcome == "":
+		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Answer.Outcome: is empty"}
+	case !owner || known.phase == released || known.phase == cancelled:
 		return specifier.Decision{Verdict: specifier.Fenced}
+	case known.phase == finished:
+		return r.finished(known)
 	}
-	known.finished = true
-	known.answer = c.Answer
-	known.answer.Results = nil
+	known.phase = finished
+	known.answer = r.answers.Hold(answerOf(c.Answer))
+	r.submissions[c.Job] = known
 	return r.finished(known)
 }
 
 func (r *Registrar) release(c specifier.ReleaseJob) specifier.Decision {
-	known := r.submissions[c.Job]
+	known, ok := r.submissions[c.Job]
 	switch {
-	case known == nil:
-		return specifier.Decision{Verdict: specifier.Rejected, Detail: "unknown job"}
-	case known.finished || known.owner != c.Owner || known.epoch != c.Epoch:
+	case !ok:
+		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Job: unknown"}
+	case known.phase == finished || known.phase == cancelled:
+		return specifier.Decision{Verdict: specifier.Fenced}
+	case r.owners.Get(known.owner) != c.Owner || specifier.Epoch(known.epoch) != c.Epoch:
 		return specifier.Decision{Verdict: specifier.Fenced}
 	}
-	known.released = true
+	known.phase = released
+	r.submissions[c.Job] = known
 	return specifier.Decision{Verdict: specifier.Applied}
 }
 
+// cancel leaves a record of a job that nobody owns, so that a submission that arrives later is
+// answered with NotRun. Its deadline is unknown, so the record is kept as for the latest one.
 func (r *Registrar) cancel(c specifier.CancelJob) specifier.Decision {
-	known := r.submissions[c.Job]
+	known, ok := r.submissions[c.Job]
 	switch {
-	case known == nil && len(r.submissions) >= r.MaxSubmissions:
+	case ok && (known.phase == finished || known.phase == cancelled):
+		return r.finished(known)
+	case ok && known.phase != released:
+		return r.attached(known)
+	case !ok && len(r.submissions) >= r.MaxSubmissions:
 		return specifier.Decision{Verdict: specifier.Full}
-	case known == nil:
-		known = &submission{accepted: r.index}
+	}
+	known.answer = r.answers.Hold(answerOf(specifier.Refuse(specifier.Cancelled, "cancelled before it was accepted")))
+	if ok {
+		known.phase = finished
 		r.submissions[c.Job] = known
-		r.keep(c.Job, known, 0)
-	case known.finished:
 		return r.finished(known)
-	case !known.released:
-		return r.attached(known)
 	}
-	known.finished = true
-	known.answer = specifier.Refuse(specifier.Cancelled, "cancelled before it was accepted")
+	known.accepted, known.phase = r.index, cancelled
+	r.put(c.Job, known, specifier.MaxTimeLeft)
 	return r.finished(known)
 }
 
-func (r *Registrar) finished(known *submission) specifier.Decision {
-	return specifier.Decision{Verdict: specifier.Finished, Owner: known.owner, OwnerAddr: r.members[known.owner.Name].Addr,
-		OwnerDown: r.isDown(known.owner), Epoch: known.epoch, Answer: known.answer}
+func (r *Registrar) finished(known submission) specifier.Decision {
+	decision := r.attached(known)
+	decision.Verdict, decision.Answer = specifier.Finished, r.answers.Get(known.answer).whole()
+	return decision
+}
+
+// attached names the address of the owner only while that incarnation is up: another one at the
+// same name holds neither the job nor its results.
+func (r *Registrar) attached(known submission) specifier.Decision {
+	owner := r.owners.Get(known.owner)
+	decision := specifier.Decision{Verdict: specifier.Attached, Owner: owner, OwnerDown: true, Epoch: specifier.Epoch(known.epoch)}
+	if r.isUp(owner) {
+		decision.OwnerAddr, decision.OwnerDown = r.members[owner.Name].Addr, false
+	}
+	return decision
+}
+
+func (r *Registrar) tookOver(known submission) specifier.Decision {
+	return specifier.Decision{Verdict: specifier.Accepted, Epoch: specifier.Epoch(known.epoch),
+		Departed: r.departed.agentsSince(known.accepted)}
 }
 
-func (r *Registrar) attached(known *submission) specifier.Decision {
-	return specifier.Decision{Verdict: specifier.Attached, Owner: known.owner, OwnerAddr: r.members[known.owner.Name].Addr,
-		OwnerDown: r.isDown(known.owner), Epoch: known.epoch}
+func (r *Registrar) own(known *submission, owner specifier.Identity) {
+	former := known.owner
+	known.owner = r.owners.Hold(owner)
+	r.owners.Drop(former)
 }
 
-// keep extends how long the submission is remembered, never shortens it.
-func (r *Registrar) keep(id specifier.JobID, known *submission, left time.Duration) {
+// keepTime returns until when a submission with this much time left is remembered.
+func (r *Registrar) keepTime(left time.Duration) time.Time {
 	left = min(max(left, 0), specifier.MaxTimeLeft)
-	until := r.now.Add(left + specifier.KeyRetention)
-	if until.After(known.keep) {
+	return r.now.Add(left + specifier.KeyRetention)
+}
+
+// put stores the submission and extends how long it is remembered, never shortens it.
+func (r *Registrar) put(id specifier.JobID, known submission, left time.Duration) {
+	if until := keepUntil(r.keepTime(left)); until > known.keep {
 		known.keep = until
-		r.expire(id, until)
+		r.expiring.Push(expiry{keep: until, job: id})
+	}
+	r.submissions[id] = known
+}
+
+// forget drops the submissions whose time is over. An entry of the heap may be out of date:
+// the submission's own time decides.
+func (r *Registrar) forget() {
+	for {
+		next, ok := r.expiring.Peek()
+		if !ok || !next.keep.reached(r.now) {
+			return
+		}
+		r.expiring.Pop()
+		if known, ok := r.submissions[next.job]; ok && known.keep.reached(r.now) {
+			r.owners.Drop(known.owner)
+			r.answers.Drop(known.answer)
+			delete(r.submissions, next.job)
+		}
 	}
 }
