--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -29,6 +29,7 @@
 	queued   int
 	held     int
 	lease    time.Time
+	now      time.Time // of the present step
 	draining bool
 	out      []Action
 }
@@ -47,7 +48,7 @@
 
 // Step handles one event.
 func (x *Executor) Step(now time.Time, event Event) []Action {
-	x.out = nil
+	x.out, x.now = nil, now
 	switch event := event.(type) {
 	case Linked:
 		x.links[event.Entry] = event.Link
@@ -68,7 +69,7 @@
 	case RunEnded:
 		x.runEnded(now, event)
 	case Leased:
-		x.lease = event.Until
+		x.leaseRenewed(now, event.Until)
 	case Draining:
 		x.drain(event.On)
 	}
@@ -78,7 +79,7 @@
 
 // Expire refuses what is too late and forgets the records whose time is over.
 func (x *Executor) Expire(now time.Time) []Action {
-	x.out = nil
+	x.out, x.now = nil, now
 	if !x.leased(now) {
 		x.refuseQueued(NoLease)
 	}
@@ -117,10 +118,19 @@
 	return next
 }
 
-// Load returns the agent's count of its work.
+// leaseRenewed tells the entries when the agent takes work again after its lease had ended.
+func (x *Executor) leaseRenewed(now time.Time, until time.Time) {
+	was := x.leased(now)
+	x.lease = until
+	if !was && x.slots > 0 {
+		x.out = append(x.out, Announce{Load: x.Load()})
+	}
+}
+
+// Load returns the agent's count of its work, without slots while it takes none.
 func (x *Executor) Load() specifier.Load {
 	slots := x.slots
-	if x.draining {
+	if x.draining || !x.leased(x.now) {
 		slots = 0
 	}
 	return specifier.Load{Slots: slots, Running: x.running, Queued: x.queued}
@@ -203,7 +213,7 @@
 		job = x.hold(e.Job, e.Epoch, e.Entry, e.Deadline)
 		x.out = append(x.out, Note{recorder.Event{Kind: recorder.JobFenced, Job: e.Job, Epoch: e.Epoch, Other: e.Entry.Name}})
 	}
-	x.out = append(x.out, Report{Entry: e.Entry, Job: e.Job, Epoch: job.epoch, Tasks: job.reports(), Load: x.Load()})
+	x.out = append(x.out, Report{Entry: e.Entry, Job: e.Job, Epoch: job.epoch, Tasks: job.reports(), Mark: e.Mark, Load: x.Load()})
 }
 
 // hold returns the record of a job, raised to epoch and kept until after deadline.
@@ -243,9 +253,12 @@
 		return
 	}
 	x.draining = on
+	kind := recorder.MemberResumed
 	if on {
+		kind = recorder.MemberDraining
 		x.refuseQueued(Drain)
 	}
+	x.out = append(x.out, Note{recorder.Event{Kind: kind}})
 	x.out = append(x.out, Announce{Load: x.Load()})
 }
 
--- a/agent/executor/fenced.go
+++ b/agent/executor/fenced.go
@@ -14,6 +14,7 @@
 	Job      specifier.JobID
 	Epoch    specifier.Epoch
 	Deadline time.Time
+	Mark     uint64 // comes back in Report
 }
 
 func (Fenced) event() {}
--- a/agent/executor/report.go
+++ b/agent/executor/report.go
@@ -8,6 +8,7 @@
 	Job   specifier.JobID
 	Epoch specifier.Epoch // the highest known here
 	Tasks []specifier.TaskReport
+	Mark  uint64 // of the Fenced that it answers
 	Load  specifier.Load
 }
 
--- a/agent/listener/messages.go
+++ b/agent/listener/messages.go
@@ -35,7 +35,7 @@
 			return nil, err
 		}
 		left := min(max(time.Duration(fence.TimeLeft), 0), specifier.MaxTimeLeft)
-		events = append(events, executor.Fenced{Entry: entry, Link: link, Job: job, Epoch: specifier.Epoch(fence.Epoch), Deadline: now.Add(left)})
+		events = append(events, executor.Fenced{Entry: entry, Link: link, Job: job, Epoch: specifier.Epoch(fence.Epoch), Deadline: now.Add(left), Mark: fence.Mark})
 	}
 	return events, nil
 }
@@ -82,7 +82,7 @@
 
 // EncodeReport copies every field.
 func EncodeReport(r executor.Report) *encoder.AgentMessage {
-	report := &encoder.Report{Job: r.Job[:], Epoch: uint64(r.Epoch)}
+	report := &encoder.Report{Job: r.Job[:], Epoch: uint64(r.Epoch), Mark: r.Mark}
 	for _, task := range r.Tasks {
 		report.Tasks = append(report.Tasks, &encoder.TaskReport{Task: task.Task, State: string(task.State), Body: task.Body, Detail: task.Detail})
 	}
--- a/controller/driver/action.go
+++ b/controller/driver/action.go
@@ -2,13 +2,15 @@
 
 import (
 	"oleandertally/controller/sequencer"
+	"oleandertally/state/registrar"
 	"oleandertally/state/replicator"
 )
 
-// Action is an output of the log or of the sequencer: exactly one is set.
+// Action is an output of the log, of the sequencer, or the answer to a request to join: exactly one is set.
 type Action struct {
 	Log     replicator.Action
 	Control sequencer.Action
-	// Content is the state to save, with SaveSnapshot in Log, or to store, with Restore.
-	Content []byte
+	Joined  *JoinAnswered
+	// Image is the state to save, with SaveSnapshot in Log.
+	Image *registrar.Image
 }
--- a/controller/driver/driver.go
+++ b/controller/driver/driver.go
@@ -1,7 +1,9 @@
 package driver
 
 import (
+	"bytes"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,8 +16,8 @@
 	"oleandertally/state/replicator"
 )
 
-// operatorTickets is the first ticket of requests that do not come from the sequencer.
-const operatorTickets = 1 << 62
+// joinTickets is added to the tickets of requests to join, which the sequencer does not know.
+const joinTickets = 1 << 62
 
 // Driver is the control state of a controller. Exported fields are set before the first Step.
 type Driver struct {
@@ -24,11 +26,13 @@
 	// Fault is called with an error that the controller can't go on after: a committed batch or
 	// a snapshot that can't be decoded.
 	Fault func(error)
-	// Save and Load turn the state into the content of a snapshot and back.
-	Save func(*registrar.Registrar) ([]byte, error)
-	Load func([]byte) (*registrar.Registrar, error)
+	// Names are the controllers that may join.
+	Names []string
+	// MaxSubmissions bounds the state that is loaded from a snapshot.
+	MaxSubmissions int
 
-	servers map[replicator.ServerID]netip.AddrPort
+	servers []replicator.Server // in force
+	leader  netip.AddrPort      // zero while unknown or while this controller leads
 	offered map[replicator.Index][]byte
 	out     []Action
 }
@@ -36,10 +40,13 @@
 // Step handles one event.
 func (d *Driver) Step(now time.Time, event Event) []Action {
 	d.out = nil
-	if event.Log != nil {
+	switch {
+	case event.Log != nil:
 		d.offer(event)
 		d.perform(now, d.Node.Step(now, event.Log))
-	} else {
+	case event.Join != nil:
+		d.join(now, *event.Join)
+	default:
 		d.control(now, d.Sequencer.Step(now, event.Control))
 	}
 	return d.out
@@ -66,14 +73,46 @@
 	return log
 }
 
-// Learn notes the addresses of servers, so that a leader can be named by its address.
-func (d *Driver) Learn(servers []replicator.Server) {
-	if d.servers == nil {
-		d.servers = make(map[replicator.ServerID]netip.AddrPort)
+// addrOf returns the address of a server in force, or the zero address.
+func (d *Driver) addrOf(id replicator.ServerID) netip.AddrPort {
+	for _, server := range d.servers {
+		if server.ID == id {
+			return server.Addr
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// join adds a server, in the place of the one of the same name whose disk is lost.
+func (d *Driver) join(now time.Time, request Join) {
+	answer := JoinAnswered{Ticket: request.Ticket}
+	if !d.Node.Leading(now) {
+		answer.Leader, answer.Detail = d.leader, "this controller does not lead"
+		d.out = append(d.out, Action{Joined: &answer})
+		return
 	}
-	for _, server := range servers {
-		d.servers[server.ID] = server.Addr
+	if !slices.Contains(d.Names, request.Server.ID.Name) {
+		answer.Detail = "this name is not in the leader's settings"
+		d.out = append(d.out, Action{Joined: &answer})
+		return
 	}
+	add := replicator.AddServer{Ticket: request.Ticket + joinTickets, Server: request.Server}
+	for _, known := range d.servers {
+		if known.ID == request.Server.ID {
+			answer.Member, answer.Detail = known.Voter, "the log is being copied"
+			d.out = append(d.out, Action{Joined: &answer})
+			return
+		}
+		if known.ID.Name == request.Server.ID.Name {
+			add.Server.Replaces = known.ID
+		}
+	}
+	d.perform(now, d.Node.Step(now, add))
+}
+
+// joinAnswered answers a request that went to the log.
+func (d *Driver) joinAnswered(ticket replicator.Ticket, detail string) {
+	d.out = append(d.out, Action{Joined: &JoinAnswered{Ticket: ticket - joinTickets, Leader: d.leader, Detail: detail}})
 }
 
 // offer keeps the content of a snapshot until the node says whether to restore it.
@@ -92,31 +131,31 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case replicator.Proposed:
-			if action.Ticket < operatorTickets {
-				d.control(now, d.Sequencer.Step(now, sequencer.Logged{Ticket: sequencer.Ticket(action.Ticket),
-					Index: uint64(action.Index), Term: uint64(action.Term)}))
+			if action.Ticket >= joinTickets {
+				d.joinAnswered(action.Ticket, "the server is being added")
 				continue
 			}
-			d.out = append(d.out, Action{Log: action})
+			d.control(now, d.Sequencer.Step(now, sequencer.Logged{Ticket: sequencer.Ticket(action.Ticket),
+				Index: uint64(action.Index), Term: uint64(action.Term)}))
 		case replicator.Refused:
-			if action.Ticket < operatorTickets {
-				d.control(now, d.Sequencer.Step(now, sequencer.Rejected{Ticket: sequencer.Ticket(action.Ticket), Verdict: verdict(action.Reason)}))
+			if action.Ticket >= joinTickets {
+				d.joinAnswered(action.Ticket, string(action.Reason))
 				continue
 			}
-			d.out = append(d.out, Action{Log: action})
+			d.control(now, d.Sequencer.Step(now, sequencer.Rejected{Ticket: sequencer.Ticket(action.Ticket), Verdict: verdict(action.Reason)}))
 		case replicator.Apply:
 			d.apply(now, action.Entries)
+		case replicator.MembershipChanged:
+			d.servers = action.Servers
+			d.out = append(d.out, Action{Log: action})
 		case replicator.BecameLeader:
+			d.leader = netip.AddrPort{}
 			d.control(now, d.Sequencer.Step(now, sequencer.Led{}))
 		case replicator.BecameFollower:
-			d.control(now, d.Sequencer.Step(now, sequencer.Followed{Leader: d.servers[action.Leader]}))
+			d.leader = d.addrOf(action.Leader)
+			d.control(now, d.Sequencer.Step(now, sequencer.Followed{Leader: d.leader}))
 		case replicator.SaveSnapshot:
-			content, err := d.Save(d.Sequencer.Registrar)
-			if err != nil {
-				d.Fault(errors.Wrap(err, "driver: encode the state"))
-				continue
-			}
-			d.out = append(d.out, Action{Log: action, Content: content})
+			d.out = append(d.out, Action{Log: action, Image: d.Sequencer.Registrar.Image()})
 		case replicator.Restore:
 			d.restore(action)
 		default:
@@ -143,9 +182,6 @@
 
 func (d *Driver) apply(now time.Time, entries []replicator.Entry) {
 	for _, entry := range entries {
-		if entry.Kind == replicator.Membership {
-			d.Learn(entry.Servers)
-		}
 		batch := specifier.Batch{}
 		if entry.Kind == replicator.Data {
 			var err error
@@ -158,16 +194,18 @@
 	}
 }
 
+// restore loads a snapshot that the log took over. At the start there is none to load: the adapter
+// read it with the data folder.
 func (d *Driver) restore(action replicator.Restore) {
-	content := d.offered[action.Snapshot.Index]
-	state, err := d.Load(content)
-	if err != nil {
-		d.Fault(errors.Wrapf(err, "driver: decode the snapshot at %d", action.Snapshot.Index))
-		return
+	if content, ok := d.offered[action.Snapshot.Index]; ok {
+		state, err := registrar.Decode(bytes.NewReader(content), d.MaxSubmissions)
+		if err != nil {
+			d.Fault(errors.Wrapf(err, "driver: decode the snapshot at %d", action.Snapshot.Index))
+			return
+		}
+		d.Sequencer.Restored(state)
 	}
-	d.Learn(action.Snapshot.Servers)
-	d.Sequencer.Restored(state)
-	d.out = append(d.out, Action{Log: action, Content: content})
+	d.out = append(d.out, Action{Log: action})
 }
 
 func decodeBatch(data []byte) (specifier.Batch, error) {
--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -140,9 +140,6 @@
 	switch {
 	case !s.leads:
 		decide(specifier.Decision{Verdict: specifier.NotLeader, Leader: s.leader})
-	case isLookup(e.Command) && s.Leading(now):
-		// A read under the leader's lease: every earlier decision is applied here, so it needs no log entry.
-		decide(s.Registrar.Read(e.Command.(specifier.LookupJob)))
 	case len(s.waiting) >= maxWaiting:
 		decide(specifier.Decision{Verdict: specifier.Full})
 	default:
@@ -150,11 +147,6 @@
 	}
 }
 
-func isLookup(command specifier.Command) bool {
-	_, ok := command.(specifier.LookupJob)
-	return ok
-}
-
 // submit gives the waiting commands to the log as one batch.
 func (s *Sequencer) submit(now time.Time) {
 	for s.leads && len(s.waiting) > 0 && len(s.submitted)+len(s.logged) < maxInFlight {
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,17 +33,20 @@
 type Controller struct {
 	Name           string
 	Addr           netip.AddrPort // gRPC
-	Servers        []replicator.Server
+	DataFolder     string
+	Peers          []Peer // every controller of the cluster, this one included
+	Bootstrap      bool   // begin a new cluster of this controller alone; the others join it
 	MemberLease    time.Duration
 	MaxSubmissions int
+	Consensus      replicator.Settings
 	Credentials    credentials.TransportCredentials
 	Log            zerolog.Logger
 
 	mailbox  *mailer.Mailbox[driver.Event]
 	registry *registry
-	disk     *memory
-	peers    map[netip.AddrPort]*peer
-	driver   *driver.Driver
+	disk     *disk
+	peers    *peers
+	joins    *joins
 	fault    chan error
 }
 
@@ -52,8 +57,10 @@
 		return errors.New("controller: Name: is empty")
 	case !c.Addr.IsValid():
 		return errors.New("controller: Addr: is missing, expected IP:port")
-	case len(c.Servers) == 0:
-		return errors.New("controller: Servers: is empty")
+	case c.DataFolder == "":
+		return errors.New("controller: DataFolder: is empty")
+	case !slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.Name == c.Name }):
+		return errors.Newf("controller: Peers: does not list %s", c.Name)
 	case c.MemberLease <= 0:
 		return errors.New("controller: MemberLease: expected more than 0")
 	case c.MaxSubmissions <= 0:
@@ -61,7 +68,7 @@
 	case c.Credentials == nil:
 		return errors.New("controller: Credentials: must be set")
 	}
-	return nil
+	return c.Consensus.Check()
 }
 
 // Run serves until ctx ends or the controller can't go on.
@@ -71,44 +78,37 @@
 	}
 	c.mailbox = mailer.NewMailbox[driver.Event](mailboxSize)
 	c.registry = &registry{mailbox: c.mailbox}
+	c.joins = &joins{mailbox: c.mailbox}
 	c.fault = make(chan error, 1)
-	c.peers = make(map[netip.AddrPort]*peer)
-	pool := &dialer.Pool{Credentials: c.Credentials}
-	defer pool.Close()
-
-	node := &replicator.Node{Settings: replicator.Defaults(), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	for _, server := range c.Servers {
-		if server.ID.Name == c.Name {
-			node.Self = server.ID
-		}
+	disk, recovered, err := openDisk(c.DataFolder, c.Log, c.mailbox)
+	if err != nil {
+		return errors.Wrap(err, "controller")
 	}
-	if err := node.Check(); err != nil {
+	c.disk = disk
+	err = c.serve(ctx, recovered)
+	return errors.CombineErrors(err, disk.close())
+}
+
+func (c *Controller) serve(ctx context.Context, recovered recovery) error {
+	machine, err := c.machine(recovered)
+	if err != nil {
 		return err
 	}
-	c.driver = &driver.Driver{Node: node, Fault: c.fail}
-	c.driver.Sequencer = sequencer.New(c.MemberLease, registrar.New(c.MaxSubmissions), node.Leading)
-	c.driver.Learn(c.Servers)
-
 	listener, err := net.Listen("tcp", c.Addr.String())
 	if err != nil {
 		return errors.Wrap(err, "controller: listen on Addr")
 	}
+	pool := &dialer.Pool{Credentials: c.Credentials}
+	defer pool.Close()
 	server := dialer.NewServer(c.Credentials)
 	encoder.RegisterRegistryServer(server, c.registry)
-	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox})
+	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins})
 
 	group, ctx := errgroup.WithContext(ctx)
-	c.disk = &memory{box: mailer.NewOutbox[replicator.Write](), mailbox: c.mailbox}
+	c.peers = &peers{group: group, ctx: ctx, pool: pool, disk: c.disk, mailbox: c.mailbox, settings: c.Peers}
+	loop := &mailer.Loop[driver.Event, driver.Action]{Machine: machine, Mailbox: c.mailbox, Perform: c.perform, Clock: time.Now}
 	group.Go(func() error { return c.disk.run(ctx) })
-	for _, each := range c.Servers {
-		if each.ID == node.Self {
-			continue
-		}
-		peer := &peer{addr: each.Addr, pool: pool, box: mailer.NewOutbox[replicator.Envelope]()}
-		c.peers[each.Addr] = peer
-		group.Go(func() error { return peer.run(ctx) })
-	}
-	loop := &mailer.Loop[driver.Event, driver.Action]{Machine: c.driver, Mailbox: c.mailbox, Perform: c.perform, Clock: time.Now}
+	group.Go(func() error { return c.disk.save(ctx) })
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "controller: serve") })
 	group.Go(func() error {
@@ -120,12 +120,57 @@
 			return context.Cause(ctx)
 		}
 	})
-	for _, event := range []replicator.Event{replicator.Started{}, replicator.Bootstrap{Servers: c.Servers}} {
+	group.Go(func() error { return c.begin(ctx, machine.Node.Self, pool) })
+	return group.Wait()
+}
+
+// machine builds the control state from what the data folder held.
+func (c *Controller) machine(recovered recovery) (*driver.Driver, error) {
+	node := &replicator.Node{Self: replicator.ServerID{Name: c.Name, Disk: recovered.disk}, Settings: c.Consensus,
+		Recovered: recovered.log, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	if err := node.Check(); err != nil {
+		return nil, err
+	}
+	state := registrar.New(c.MaxSubmissions)
+	if recovered.content != nil {
+		var err error
+		if state, err = registrar.Decode(bytes.NewReader(recovered.content), c.MaxSubmissions); err != nil {
+			return nil, errors.Wrap(err, "controller: the newest snapshot")
+		}
+	}
+	machine := &driver.Driver{Node: node, Sequencer: sequencer.New(c.MemberLease, state, node.Leading), Fault: c.fail,
+		MaxSubmissions: c.MaxSubmissions}
+	for _, peer := range c.Peers {
+		machine.Names = append(machine.Names, peer.Name)
+	}
+	return machine, nil
+}
+
+// begin starts the log, and makes this controller a voter if it is not one.
+func (c *Controller) begin(ctx context.Context, self replicator.ServerID, pool *dialer.Pool) error {
+	server := replicator.Server{ID: self, Addr: c.Addr, Voter: true}
+	events := []replicator.Event{replicator.Started{}}
+	if c.Bootstrap {
+		events = append(events, replicator.Bootstrap{Servers: []replicator.Server{server}})
+	}
+	for _, event := range events {
 		if err := c.mailbox.Send(ctx, driver.Event{Log: event}); err != nil {
 			return err
 		}
 	}
-	return group.Wait()
+	if c.Bootstrap {
+		return nil
+	}
+	joiner := &joiner{self: server, pool: pool, log: c.Log}
+	for _, peer := range c.Peers {
+		if peer.Name != c.Name {
+			joiner.peers = append(joiner.peers, peer.Addr)
+		}
+	}
+	if len(joiner.peers) == 0 {
+		return nil
+	}
+	return joiner.run(ctx)
 }
 
 // fail stops the controller with the first fault.
@@ -138,24 +183,26 @@
 
 // perform runs on the control goroutine and does not block.
 func (c *Controller) perform(action driver.Action) {
-	switch action := action.Control.(type) {
+	if action.Joined != nil {
+		c.joins.answer(*action.Joined)
+		return
+	}
+	switch control := action.Control.(type) {
 	case sequencer.Decide:
-		c.registry.propose.put(action.Stream, &encoder.Verdict{Sequence: action.Sequence, Decision: encoder.EncodeDecision(action.Decision)})
+		c.registry.propose.put(control.Stream, &encoder.Verdict{Sequence: control.Sequence, Decision: encoder.EncodeDecision(control.Decision)})
 	case sequencer.Push:
-		c.registry.attend.put(action.Stream, action.Update)
-	}
-	switch action := action.Log.(type) {
-	case replicator.Persist:
-		c.disk.box.Put(action.Write)
-	case replicator.Append:
-		c.disk.box.Put(action.Write)
-	case replicator.Truncate:
-		c.disk.box.Put(action.Write)
+		c.registry.attend.put(control.Stream, control.Update)
+	}
+	switch log := action.Log.(type) {
+	case replicator.Persist, replicator.Append, replicator.Truncate, replicator.Compact, replicator.Restore:
+		c.disk.queue.Put(action)
+	case replicator.SaveSnapshot:
+		c.disk.saves.Put(action)
 	case replicator.Send:
-		for _, server := range c.Servers {
-			if server.ID == action.Envelope.To {
-				c.peers[server.Addr].box.Put(action.Envelope)
-			}
-		}
+		c.peers.send(log.Envelope)
+	case replicator.SendSnapshot:
+		c.peers.sendSnapshot(log)
+	case replicator.MembershipChanged:
+		c.peers.servers = log.Servers
 	}
 }
--- /dev/null
+++ b/controller/server/disk.go
@@ -0,0 +1,230 @@
+package server
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleandertally/controller/driver"
+	"oleandertally/core/mailer"
+	"oleandertally/state/journaler"
+	"oleandertally/state/registrar"
+	"oleandertally/state/replicator"
+	"oleandertally/state/snapshotter"
+	"oleandertally/state/transporter"
+)
+
+// disk is the data folder of a controller. Its run goroutine performs the log's disk actions in order, and
+// all that wait while one sync runs share the next one.
+type disk struct {
+	mailbox *mailer.Mailbox[driver.Event]
+	folder  *journaler.Disk
+	journal *journaler.Journal
+	store   *snapshotter.Store
+	queue   *mailer.Outbox[driver.Action]
+	saves   *mailer.Outbox[driver.Action]
+
+	mutex    sync.Mutex // one of Save, Receive and Install at a time
+	received *snapshotter.Receiver
+}
+
+// openDisk reads the data folder at path. It returns what the log recovers and the content of the newest snapshot.
+func openDisk(path string, log zerolog.Logger, mailbox *mailer.Mailbox[driver.Event]) (*disk, recovery, error) {
+	folder, err := journaler.OpenDisk(path)
+	if err != nil {
+		return nil, recovery{}, err
+	}
+	d := &disk{mailbox: mailbox, folder: folder, queue: mailer.NewOutbox[driver.Action](), saves: mailer.NewOutbox[driver.Action]()}
+	d.journal = &journaler.Journal{Folder: folder, Disk: rand.Uint64(), Log: log}
+	d.store = &snapshotter.Store{Folder: folder, Log: log}
+	recovered, err := d.recover()
+	if err != nil {
+		folder.Close()
+		return nil, recovery{}, errors.Wrapf(err, "data folder %s", path)
+	}
+	return d, recovered, nil
+}
+
+func (d *disk) recover() (recovery, error) {
+	content, err := d.journal.Open()
+	if err != nil {
+		return recovery{}, err
+	}
+	if err := d.store.Clean(); err != nil {
+		return recovery{}, err
+	}
+	r := recovery{disk: content.Disk}
+	if content.State.Term > 0 {
+		r.log.State = replicator.HardState{Term: replicator.Term(content.State.Term),
+			Vote: replicator.ServerID{Name: content.State.Vote, Disk: content.State.VoteDisk}}
+	}
+	if err := d.readSnapshot(&r); err != nil {
+		return recovery{}, err
+	}
+	if content.Base > uint64(r.log.Snapshot.Index) {
+		return recovery{}, errors.Newf("the journal begins after %d, but the newest snapshot ends at %d: replace this controller", content.Base, r.log.Snapshot.Index)
+	}
+	for _, record := range content.Records {
+		entry, err := transporter.DecodeEntry(record.Data)
+		if err != nil {
+			return recovery{}, errors.Wrapf(err, "log entry %d", record.Index)
+		}
+		r.log.Entries = append(r.log.Entries, entry)
+	}
+	return r, nil
+}
+
+func (d *disk) readSnapshot(r *recovery) error {
+	newest, err := d.store.Newest()
+	if errors.Is(err, snapshotter.ErrNone) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer newest.Close()
+	if r.log.Snapshot, err = transporter.DecodeSnapshot(newest.Meta.Extra); err != nil {
+		return err
+	}
+	r.content, err = io.ReadAll(newest.Body())
+	return errors.Wrap(err, "read the snapshot")
+}
+
+// close ends the journal cleanly and releases the folder.
+func (d *disk) close() error {
+	return errors.CombineErrors(d.journal.Close(), d.folder.Close())
+}
+
+// run performs disk actions until ctx ends or the disk fails; the process must stop then.
+func (d *disk) run(ctx context.Context) error {
+	for {
+		actions, err := d.queue.Take(ctx)
+		if err != nil {
+			return err
+		}
+		write, err := d.perform(actions)
+		if err != nil {
+			return err
+		}
+		if write == 0 {
+			continue
+		}
+		if err := d.mailbox.Send(ctx, driver.Event{Log: replicator.Synced{Write: write}}); err != nil {
+			return err
+		}
+	}
+}
+
+// perform commits the actions and returns the number of the last write.
+func (d *disk) perform(actions []driver.Action) (replicator.Write, error) {
+	var operations []journaler.Operation
+	var last replicator.Write
+	for _, action := range actions {
+		switch action := action.Log.(type) {
+		case replicator.Append:
+			records, err := encodeRecords(action.Entries)
+			if err != nil {
+				return 0, err
+			}
+			operations, last = append(operations, journaler.Append{Records: records}), action.Write
+		case replicator.Truncate:
+			operations, last = append(operations, journaler.Truncate{From: uint64(action.From)}), action.Write
+		case replicator.Persist:
+			state := journaler.State{Term: uint64(action.State.Term), Vote: action.State.Vote.Name, VoteDisk: action.State.Vote.Disk}
+			operations, last = append(operations, journaler.Persist{State: state}), action.Write
+		case replicator.Compact:
+			operations = append(operations, journaler.Compact{Through: uint64(action.Through)})
+		case replicator.Restore:
+			if err := d.journal.Commit(operations...); err != nil {
+				return 0, err
+			}
+			if err := d.install(); err != nil {
+				return 0, err
+			}
+			operations, last = []journaler.Operation{journaler.Reset{Index: uint64(action.Snapshot.Index)}}, action.Write
+		}
+	}
+	return last, d.journal.Commit(operations...)
+}
+
+func encodeRecords(entries []replicator.Entry) ([]journaler.Record, error) {
+	records := make([]journaler.Record, len(entries))
+	for i, entry := range entries {
+		data, err := transporter.EncodeEntry(entry)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode log entry %d", entry.Index)
+		}
+		records[i] = journaler.Record{Index: uint64(entry.Index), Term: uint64(entry.Term), Data: data}
+	}
+	return records, nil
+}
+
+// save writes snapshots until ctx ends, beside the log's own writes.
+func (d *disk) save(ctx context.Context) error {
+	for {
+		actions, err := d.saves.Take(ctx)
+		if err != nil {
+			return err
+		}
+		for _, action := range actions {
+			snapshot := action.Log.(replicator.SaveSnapshot).Snapshot
+			if err := d.saveOne(snapshot, action.Image); err != nil {
+				return err
+			}
+			if err := d.mailbox.Send(ctx, driver.Event{Log: replicator.SnapshotSaved{Index: snapshot.Index}}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (d *disk) saveOne(snapshot replicator.Snapshot, image *registrar.Image) error {
+	extra, err := transporter.EncodeSnapshot(snapshot)
+	if err != nil {
+		return errors.Wrap(err, "encode the snapshot's description")
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	meta := snapshotter.Meta{Index: uint64(snapshot.Index), Term: uint64(snapshot.Term), Extra: extra}
+	return d.store.Save(meta, image.Encode)
+}
+
+// install makes the received snapshot the newest one. Without one, a crash interrupted a
+// Restore whose snapshot is installed already.
+func (d *disk) install() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.received == nil {
+		return nil
+	}
+	received := d.received
+	d.received = nil
+	return received.Install()
+}
+
+// receive begins the transfer of a snapshot from another controller.
+func (d *disk) receive() (*snapshotter.Receiver, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.received != nil {
+		return nil, errors.New("another transfer is under way")
+	}
+	receiver, err := d.store.Receive()
+	d.received = receiver
+	return receiver, err
+}
+
+// drop ends a transfer that is not restored.
+func (d *disk) drop(receiver *snapshotter.Receiver) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.received == receiver {
+		d.received = nil
+		// What can't be removed now is removed at the next start.
+		_ = receiver.Drop()
+	}
+}
--- a/controller/server/peer.go
+++ b/controller/server/peer.go
@@ -10,6 +10,7 @@
 	"oleandertally/core/dialer"
 	"oleandertally/core/mailer"
 	"oleandertally/state/replicator"
+	"oleandertally/state/snapshotter"
 	"oleandertally/state/transporter"
 )
 
@@ -19,7 +20,6 @@
 	// peerBacklog is how many envelopes wait for a peer that does not take them; the log resends
 	// what is dropped.
 	peerBacklog = 4096
-	chunkSize   = 256 << 10
 )
 
 // peer sends to one other controller.
@@ -29,10 +29,15 @@
 	box  *mailer.Outbox[replicator.Envelope]
 }
 
-// run sends envelopes until ctx ends. What can't be sent is lost: the log resends it.
+// run sends envelopes until ctx ends. What can't be sent is lost: the log resends it. A stream is
+// opened only once there is something to send.
 func (p *peer) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := p.session(ctx); err != nil && ctx.Err() == nil {
+	for {
+		envelopes, err := p.box.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := p.session(ctx, envelopes); err != nil && ctx.Err() == nil {
 			timer := time.NewTimer(peerRedial)
 			select {
 			case <-timer.C:
@@ -41,10 +46,9 @@
 			timer.Stop()
 		}
 	}
-	return context.Cause(ctx)
 }
 
-func (p *peer) session(ctx context.Context) error {
+func (p *peer) session(ctx context.Context, envelopes []replicator.Envelope) error {
 	conn, err := p.pool.Conn(p.addr)
 	if err != nil {
 		return err
@@ -53,44 +57,53 @@
 	defer cancel()
 	stream, err := transporter.NewReplicaClient(conn).Exchange(ctx)
 	if err != nil {
-		return errors.Wrapf(err, "server: open the stream to %s", p.addr)
+		return errors.Wrapf(err, "controller: open the stream to %s", p.addr)
 	}
 	for {
-		envelopes, err := p.box.Take(ctx)
-		if err != nil {
-			return err
-		}
-		if extra := len(envelopes) - peerBacklog; extra > 0 {
-			envelopes = envelopes[extra:]
-		}
-		for _, envelope := range envelopes {
+		for _, envelope := range envelopes[max(len(envelopes)-peerBacklog, 0):] {
 			if err := stream.Send(transporter.EncodeEnvelope(envelope)); err != nil {
-				return errors.Wrapf(err, "server: send to %s", p.addr)
+				return errors.Wrapf(err, "controller: send to %s", p.addr)
 			}
 		}
+		if envelopes, err = p.box.Take(ctx); err != nil {
+			return err
+		}
 	}
 }
 
-// install streams a snapshot to a controller that is far behind.
-func install(ctx context.Context, pool *dialer.Pool, addr netip.AddrPort, envelope replicator.Envelope, content []byte) error {
+// install streams the newest snapshot to a controller that is far behind. It fails when a newer
+// one has replaced the one that the log means.
+func install(ctx context.Context, pool *dialer.Pool, addr netip.AddrPort, action replicator.SendSnapshot, store *snapshotter.Store) error {
+	newest, err := store.Newest()
+	if err != nil {
+		return err
+	}
+	defer newest.Close()
+	if newest.Meta.Index != uint64(action.Snapshot.Index) {
+		return errors.Newf("controller: the newest snapshot ends at %d, not at %d", newest.Meta.Index, action.Snapshot.Index)
+	}
 	conn, err := pool.Conn(addr)
 	if err != nil {
 		return err
 	}
 	stream, err := transporter.NewReplicaClient(conn).Install(ctx)
 	if err != nil {
-		return errors.Wrapf(err, "server: open the snapshot stream to %s", addr)
+		return errors.Wrapf(err, "controller: open the snapshot stream to %s", addr)
 	}
-	for len(content) > 0 {
-		size := min(len(content), chunkSize)
-		if err := stream.Send(&transporter.Chunk{Data: content[:size]}); err != nil {
-			return errors.Wrapf(err, "server: send the snapshot to %s", addr)
+	for offset := int64(0); offset < newest.Size; {
+		chunk, err := newest.Chunk(offset)
+		if err != nil {
+			return err
 		}
-		content = content[size:]
-	}
-	if err := stream.Send(&transporter.Chunk{Envelope: transporter.EncodeEnvelope(envelope)}); err != nil {
-		return errors.Wrapf(err, "server: send the snapshot to %s", addr)
+		message := &transporter.Chunk{Offset: chunk.Offset, Data: chunk.Data}
+		if chunk.Last {
+			message.Envelope = transporter.EncodeEnvelope(action.Envelope)
+		}
+		if err := stream.Send(message); err != nil {
+			return errors.Wrapf(err, "controller: send the snapshot to %s", addr)
+		}
+		offset += int64(len(chunk.Data))
 	}
 	_, err = stream.CloseAndRecv()
-	return errors.Wrapf(err, "server: the snapshot to %s", addr)
+	return errors.Wrapf(err, "controller: the snapshot to %s", addr)
 }
--- /dev/null
+++ b/controller/server/peers.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"net/netip"
+
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/controller/driver"
+	"oleandertally/core/dialer"
+	"oleandertally/core/mailer"
+	"oleandertally/state/replicator"
+)
+
+// peers sends to the other controllers. It is used by the control goroutine.
+type peers struct {
+	group    *errgroup.Group
+	ctx      context.Context
+	pool     *dialer.Pool
+	disk     *disk
+	mailbox  *mailer.Mailbox[driver.Event]
+	settings []Peer              // addresses until the log tells them
+	servers  []replicator.Server // in force
+	open     map[netip.AddrPort]*peer
+}
+
+// addr returns where a server is. A server that is not in the log yet is found by its name.
+func (p *peers) addr(id replicator.ServerID) (netip.AddrPort, bool) {
+	for _, server := range p.servers {
+		if server.ID == id {
+			return server.Addr, true
+		}
+	}
+	for _, peer := range p.settings {
+		if peer.Name == id.Name {
+			return peer.Addr, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (p *peers) send(envelope replicator.Envelope) {
+	addr, ok := p.addr(envelope.To)
+	if !ok {
+		return
+	}
+	target := p.open[addr]
+	if target == nil {
+		target = &peer{addr: addr, pool: p.pool, box: mailer.NewOutbox[replicator.Envelope]()}
+		if p.open == nil {
+			p.open = make(map[netip.AddrPort]*peer)
+		}
+		p.open[addr] = target
+		p.group.Go(func() error { return target.run(p.ctx) })
+	}
+	target.box.Put(envelope)
+}
+
+// sendSnapshot streams a snapshot in the background and reports the end to the log.
+func (p *peers) sendSnapshot(action replicator.SendSnapshot) {
+	addr, ok := p.addr(action.Envelope.To)
+	p.group.Go(func() error {
+		failed := !ok || install(p.ctx, p.pool, addr, action, p.disk.store) != nil
+		sent := replicator.SnapshotSent{To: action.Envelope.To, Index: action.Snapshot.Index, Failed: failed}
+		return p.mailbox.Send(p.ctx, driver.Event{Log: sent})
+	})
+}
--- a/controller/server/replica.go
+++ b/controller/server/replica.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"io"
 
 	"google.golang.org/grpc/codes"
@@ -9,17 +10,17 @@
 	"oleandertally/controller/driver"
 	"oleandertally/core/mailer"
 	"oleandertally/state/replicator"
+	"oleandertally/state/snapshotter"
 	"oleandertally/state/transporter"
 )
 
-// maxSnapshot bounds the content of a snapshot that is received, in bytes.
-const maxSnapshot = 4 << 30
-
 // replica serves the other controllers.
 type replica struct {
 	transporter.UnimplementedReplicaServer
 
 	mailbox *mailer.Mailbox[driver.Event]
+	disk    *disk
+	joins   *joins
 }
 
 // Exchange receives the envelopes of one controller.
@@ -45,32 +46,54 @@
 	}
 }
 
-// Install receives the content of a snapshot and then offers it to the log.
+// Install stores the content of a snapshot and then offers it to the log.
 func (r *replica) Install(stream transporter.Replica_InstallServer) error {
-	var content []byte
+	receiver, err := r.disk.receive()
+	if err != nil {
+		return status.Error(codes.ResourceExhausted, err.Error())
+	}
 	for {
 		chunk, err := stream.Recv()
 		if err != nil {
+			r.disk.drop(receiver)
 			return err
 		}
-		if len(content)+len(chunk.Data) > maxSnapshot {
-			return status.Error(codes.ResourceExhausted, "Chunk.Data: the snapshot is too large")
-		}
-		content = append(content, chunk.Data...)
-		if chunk.Envelope == nil {
-			continue
-		}
-		envelope, err := transporter.DecodeEnvelope(chunk.Envelope)
+		meta, err := receiver.Add(snapshotter.Chunk{Offset: chunk.Offset, Data: chunk.Data, Last: chunk.Envelope != nil})
 		if err != nil {
+			r.disk.drop(receiver)
 			return status.Error(codes.InvalidArgument, err.Error())
 		}
-		if _, ok := envelope.Message.(replicator.InstallSnapshot); !ok {
-			return status.Error(codes.InvalidArgument, "Chunk.Envelope: expected InstallSnapshot")
+		if chunk.Envelope == nil {
+			continue
 		}
-		event := driver.Event{Log: replicator.Received{Envelope: envelope}, Content: content}
-		if err := r.mailbox.Send(stream.Context(), event); err != nil {
+		if err := r.offer(stream, receiver, meta, chunk.Envelope); err != nil {
 			return err
 		}
 		return stream.SendAndClose(&transporter.Stored{})
 	}
 }
+
+// offer hands a stored snapshot to the log. The log restores it or leaves it.
+func (r *replica) offer(stream transporter.Replica_InstallServer, receiver *snapshotter.Receiver, meta *snapshotter.Meta, message *transporter.Envelope) error {
+	envelope, err := transporter.DecodeEnvelope(message)
+	install, ok := envelope.Message.(replicator.InstallSnapshot)
+	if err != nil || !ok || uint64(install.Snapshot.Index) != meta.Index {
+		r.disk.drop(receiver)
+		return status.Error(codes.InvalidArgument, "Chunk.Envelope: expected InstallSnapshot of the same index")
+	}
+	content, err := receiver.Content()
+	if err != nil {
+		r.disk.drop(receiver)
+		return status.Error(codes.Internal, err.Error())
+	}
+	return r.mailbox.Send(stream.Context(), driver.Event{Log: replicator.Received{Envelope: envelope}, Content: content})
+}
+
+// Join asks for membership in the cluster.
+func (r *replica) Join(ctx context.Context, request *transporter.JoinRequest) (*transporter.JoinReply, error) {
+	server, err := transporter.DecodeServer(request.Server)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return r.joins.ask(ctx, server)
+}
--- a/core/encoder/command.go
+++ b/core/encoder/command.go
@@ -19,8 +19,8 @@
 		return &Command{Kind: &Command_ReleaseJob{ReleaseJob: encodeReleaseJob(command)}}
 	case specifier.CancelJob:
 		return &Command{Kind: &Command_CancelJob{CancelJob: &CancelJob{Job: command.Job[:]}}}
-	case specifier.LookupJob:
-		return &Command{Kind: &Command_LookupJob{LookupJob: encodeLookupJob(command)}}
+	case specifier.RefuseJob:
+		return &Command{Kind: &Command_RefuseJob{RefuseJob: encodeRefuseJob(command)}}
 	case specifier.JoinMember:
 		return &Command{Kind: &Command_JoinMember{JoinMember: &JoinMember{Member: EncodeMember(command.Member)}}}
 	case specifier.EndMember:
@@ -55,8 +55,8 @@
 		return c.releaseJob(kind.ReleaseJob)
 	case *Command_CancelJob:
 		return specifier.CancelJob{Job: c.job("CancelJob.Job", kind.CancelJob.GetJob())}
-	case *Command_LookupJob:
-		return c.lookupJob(kind.LookupJob)
+	case *Command_RefuseJob:
+		return c.refuseJob(kind.RefuseJob)
 	case *Command_JoinMember:
 		return specifier.JoinMember{Member: c.member("JoinMember.Member", kind.JoinMember.GetMember())}
 	case *Command_EndMember:
--- a/core/encoder/decision.go
+++ b/core/encoder/decision.go
@@ -28,7 +28,7 @@
 	decision := specifier.Decision{
 		Verdict: known(c, path+".Verdict", m.Verdict, specifier.Accepted, specifier.Attached, specifier.Finished,
 			specifier.Conflict, specifier.Stale, specifier.Fenced, specifier.Applied, specifier.Rejected, specifier.Full,
-			specifier.NotLeader, specifier.Unknown),
+			specifier.NotLeader),
 		Owner:         c.optionalIdentity(path+".Owner", m.Owner),
 		OwnerAddr:     c.optionalAddr(path+".OwnerAddr", m.OwnerAddr),
 		OwnerDown:     m.OwnerDown,
--- a/core/reporter/values.go
+++ b/core/reporter/values.go
@@ -9,8 +9,8 @@
 		specifier.Invalid, specifier.Unauthorized, specifier.UnknownProfile, specifier.UnknownTeam,
 		specifier.KeyReused, specifier.KeyExpired, specifier.DeadlinePast, specifier.NoWorker,
 		specifier.Overloaded, specifier.QuotaExceeded, specifier.Unavailable, specifier.Stopping,
-		specifier.Cancelled, specifier.TimedOut, specifier.TaskFailed, specifier.WorkerLost,
-		specifier.ResultsLost, specifier.Superseded,
+		specifier.Cancelled, specifier.TimedOut, specifier.StillRunning, specifier.TaskFailed, specifier.WorkerLost,
+		specifier.OwnerLost, specifier.ResultsLost, specifier.Superseded,
 	}
 	verdicts = []specifier.Verdict{
 		specifier.Accepted, specifier.Attached, specifier.Finished, specifier.Conflict, specifier.Stale,
--- a/core/specifier/changeconfiguration.go
+++ b/core/specifier/changeconfiguration.go
@@ -45,8 +45,8 @@
 // Check returns every problem of the change when it is applied to the configuration in force, or nil.
 func (c ChangeConfiguration) Check(in Configuration) *Problems {
 	found := &Problems{}
-	found.name("RequestId", c.RequestID)
-	found.name("Operator", c.Operator)
+	found.Name("RequestId", c.RequestID)
+	found.Name("Operator", c.Operator)
 	if len(c.Profiles)+len(c.Teams)+len(c.RemoveProfiles)+len(c.RemoveTeams) == 0 {
 		found.Add("Profiles", "nor Teams, RemoveProfiles or RemoveTeams name anything, expected a change")
 	}
--- a/core/specifier/limits.go
+++ b/core/specifier/limits.go
@@ -41,6 +41,10 @@
 	// MaxRestarts is the largest number of incarnations of one name that are remembered as Down,
 	// so that one process that keeps crashing cannot use up MaxDeparted.
 	MaxRestarts = 64
+	// RefusalHold is how long a refused key gets the same refusal again, on the log's clock. It is
+	// longer than an entry waits for a decision, so that every copy that was on its way when the
+	// job was refused gets the same answer. Then the key may be submitted anew.
+	RefusalHold = 10 * time.Second
 	// KeyRetention is how long a key is remembered after its job's deadline.
 	KeyRetention = 10 * time.Minute
 )
--- a/core/specifier/reason.go
+++ b/core/specifier/reason.go
@@ -19,8 +19,10 @@
 	Stopping       Reason = "Stopping"       // this process is shutting down
 	Cancelled      Reason = "Cancelled"      // the caller cancelled the job
 	TimedOut       Reason = "TimedOut"       // the deadline passed after a task started
+	StillRunning   Reason = "StillRunning"   // the job goes on past this caller's deadline
 	TaskFailed     Reason = "TaskFailed"     // the upstream reported a failure
 	WorkerLost     Reason = "WorkerLost"     // a worker died with a task whose state is unknown
+	OwnerLost      Reason = "OwnerLost"      // the entry that ran the job was lost with a worker; the job may have completed
 	ResultsLost    Reason = "ResultsLost"    // the job completed, but its results are no longer held
 	Superseded     Reason = "Superseded"     // another entry took the job over
 )
--- a/core/specifier/verdict.go
+++ b/core/specifier/verdict.go
@@ -12,7 +12,6 @@
 	Stale     Verdict = "Stale"     // the proposer's configuration is older than Decision.Revision
 	Fenced    Verdict = "Fenced"    // the proposer no longer owns the job
 	Applied   Verdict = "Applied"   // the change is recorded
-	Unknown   Verdict = "Unknown"   // LookupJob: nothing ran under this key and nothing runs
 	Rejected  Verdict = "Rejected"  // the change breaks a rule; Decision.Detail says which
 	Full      Verdict = "Full"      // no more submissions can be remembered now
 	NotLeader Verdict = "NotLeader" // ask Decision.Leader
--- a/core/verifier/contradiction.go
+++ b/core/verifier/contradiction.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	switch a.Reason {
-	case specifier.Superseded, specifier.ResultsLost, specifier.KeyExpired, specifier.Unavailable, specifier.Stopping:
+	case specifier.StillRunning, specifier.Superseded, specifier.OwnerLost, specifier.ResultsLost, specifier.KeyExpired, specifier.Unavailable, specifier.Stopping:
 		return true
 	}
 	return false
--- a/core/verifier/history.go
+++ b/core/verifier/history.go
@@ -21,6 +21,28 @@
 	return found
 }
 
+// starts returns the TaskStarted events but for calls that never reached the upstream: the
+// agent refuses such a task after it recorded the start.
+func (h *history) starts() []recorder.Event {
+	var found []recorder.Event
+	for i, event := range h.events {
+		if event.Kind == recorder.TaskStarted && !h.undone(event, h.events[i+1:]) {
+			found = append(found, event)
+		}
+	}
+	return found
+}
+
+// undone reports whether the next event of the same task at the same process is a refusal.
+func (h *history) undone(start recorder.Event, later []recorder.Event) bool {
+	for _, event := range later {
+		if event.Process == start.Process && event.Task == start.Task {
+			return event.Kind == recorder.TaskRefused
+		}
+	}
+	return false
+}
+
 // answers returns the JobAnswered events with the given outcome. Answers about the request
 // rather than the job are left out: a request that breaks a rule or reuses the key for another
 // body never belonged to the job.
--- a/core/verifier/notrun.go
+++ b/core/verifier/notrun.go
@@ -9,7 +9,7 @@
 
 func (h *history) notRunIsTrue() []Violation {
 	var found []Violation
-	starts := h.of(recorder.TaskStarted)
+	starts := h.starts()
 	for _, answer := range h.answers(specifier.NotRun) {
 		for _, start := range starts {
 			if h.resubmitted(answer, start) {
--- a/core/verifier/startonce.go
+++ b/core/verifier/startonce.go
@@ -9,7 +9,7 @@
 func (h *history) startOnce(repeatable bool, losses losses) []Violation {
 	var found []Violation
 	earlier := make(map[string][]recorder.Event)
-	for _, start := range h.of(recorder.TaskStarted) {
+	for _, start := range h.starts() {
 		for _, other := range earlier[start.Task] {
 			if repeatable && h.repeats(start, other, losses) {
 				continue
--- a/entry/answerer/response.go
+++ b/entry/answerer/response.go
@@ -65,9 +65,9 @@
 		return http.StatusGone
 	case specifier.QuotaExceeded:
 		return http.StatusTooManyRequests
-	case specifier.TimedOut:
+	case specifier.TimedOut, specifier.StillRunning:
 		return http.StatusGatewayTimeout
-	case specifier.TaskFailed, specifier.WorkerLost, specifier.Superseded:
+	case specifier.TaskFailed, specifier.WorkerLost, specifier.OwnerLost, specifier.Superseded:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -37,6 +37,7 @@
 	agents        map[specifier.Identity]specifier.Member // Up or Draining
 	memberVersion uint64
 	linked        map[specifier.Identity]bool
+	mark          uint64 // counts assignments and fences
 	draining      bool
 	out           []Action
 }
@@ -89,7 +90,10 @@
 	case Configured:
 		c.configured(now, event.Configuration)
 	case Identified:
-		c.self = event.Self
+		if c.self != event.Self {
+			c.disown(now)
+			c.self = event.Self
+		}
 	case Draining:
 		c.draining = true
 	}
@@ -141,7 +145,8 @@
 			continue
 		}
 		i := job.index[each.Item.Key.Task]
-		job.slots[i].held = each.Agent
+		c.mark++
+		job.slots[i].held, job.slots[i].mark = each.Agent, c.mark
 		c.note(recorder.TaskAssigned, job, each.Item.Key.Task, each.Agent.Name, "")
 		c.out = append(c.out, Assign{Agent: each.Agent, Key: each.Item.Key, Epoch: job.epoch, Payload: job.spec.Tasks[i].Payload,
 			Order: each.Item.Order.At, Deadline: job.spec.Deadline, Profile: job.spec.Profile})
@@ -152,7 +157,7 @@
 func (c *Coordinator) wake(now time.Time, job *job) {
 	late := !job.spec.Deadline.After(now)
 	switch job.phase {
-	case looking, proposing, stale, backingOff:
+	case refusing, proposing, stale, backingOff:
 		switch {
 		case late || !job.silent.Add(decideBound).After(now):
 			c.give(now, job, specifier.Fail(specifier.Unavailable,
@@ -163,7 +168,7 @@
 		}
 	case attached:
 		if late {
-			c.give(now, job, specifier.Fail(specifier.TimedOut, "another entry runs the job past this deadline", true))
+			c.give(now, job, specifier.Fail(specifier.StillRunning, "another entry runs the job past this deadline", true))
 			delete(c.jobs, job.spec.ID)
 		}
 	case collecting:
@@ -171,7 +176,7 @@
 			c.give(now, job, specifier.Fail(specifier.ResultsLost, "the job completed, but its results could not be collected in time", true))
 			delete(c.jobs, job.spec.ID)
 		} else if late {
-			c.fail(now, job, specifier.TimedOut, "the deadline passed")
+			c.fail(now, job, specifier.OwnerLost, "the deadline passed before every worker had reported what the lost entry had started")
 		}
 	case running:
 		if late {
@@ -193,13 +198,9 @@
 }
 
 // unrecorded turns an answer that the controllers have not recorded into one that stays true
-// if another entry takes the job over.
+// if another entry takes the job over and completes it.
 func unrecorded(answer specifier.Answer) specifier.Answer {
-	if answer.Outcome == specifier.NotRun {
-		return specifier.Fail(specifier.Unavailable, "the refusal could not be recorded: "+answer.Detail, true)
-	}
-	answer.MayHaveRun = true
-	return answer
+	return specifier.Fail(specifier.Unavailable, "the outcome could not be recorded: "+string(answer.Reason)+": "+answer.Detail, true)
 }
 
 func (c *Coordinator) wakeAt(job *job, at time.Time) {
@@ -214,13 +215,15 @@
 func (c *Coordinator) give(now time.Time, job *job, answer specifier.Answer) {
 	job.answer = answer
 	job.phase = answered
-	for _, waiter := range job.waiters {
-		c.reply(job, waiter)
+	for _, waiting := range job.waiters {
+		c.reply(job, waiting)
 	}
 	job.waiters = nil
 }
 
-func (c *Coordinator) reply(job *job, waiter Waiter) {
-	c.note(recorder.JobAnswered, job, "", "", string(job.answer.Outcome)+" "+string(job.answer.Reason))
-	c.out = append(c.out, Reply{Waiter: waiter, Job: job.spec.ID, Answer: job.answer})
+func (c *Coordinator) reply(job *job, to waiting) {
+	if to.caller {
+		c.note(recorder.JobAnswered, job, "", "", recorder.AnswerDetail(job.answer))
+	}
+	c.out = append(c.out, Reply{Waiter: to.waiter, Job: job.spec.ID, Answer: job.answer})
 }
--- a/entry/coordinator/fence.go
+++ b/entry/coordinator/fence.go
@@ -12,6 +12,7 @@
 	Job      specifier.JobID
 	Epoch    specifier.Epoch
 	Deadline time.Time
+	Mark     uint64 // comes back in Reported
 }
 
 func (Fence) action() {}
--- a/entry/coordinator/job.go
+++ b/entry/coordinator/job.go
@@ -20,8 +20,8 @@
 	epoch    specifier.Epoch
 	replaces specifier.Epoch // of the owner that is taken over; 0 for AcceptJob
 	need     specifier.Revision
-	refusal  *specifier.Answer // what is answered once LookupJob finds nothing
-	waiters  []Waiter
+	refusal  *specifier.Answer // what is answered unless the key is known
+	waiters  []waiting
 	cancel   bool
 
 	index   map[string]int // task id to slot
--- a/entry/coordinator/phase.go
+++ b/entry/coordinator/phase.go
@@ -4,7 +4,7 @@
 type phase int
 
 const (
-	looking    phase = iota // LookupJob is undecided: a refusal waits for it
+	refusing   phase = iota // RefuseJob is undecided: the answer waits for it
 	proposing               // AcceptJob or TakeOverJob is undecided
 	stale                   // waits for a newer configuration
 	backingOff              // proposes again at job.retryAt
--- a/entry/coordinator/reported.go
+++ b/entry/coordinator/reported.go
@@ -8,6 +8,7 @@
 	Job   specifier.JobID
 	Epoch specifier.Epoch
 	Tasks []specifier.TaskReport
+	Mark  uint64 // of the Fence that it answers
 }
 
 func (Reported) event() {}
--- a/entry/coordinator/runs.go
+++ b/entry/coordinator/runs.go
@@ -62,8 +62,6 @@
 		job.answer = specifier.Refuse(reason, detail)
 	default:
 		job.answer = specifier.Refuse(specifier.DeadlinePast, detail)
-		c.out = append(c.out, Propose{specifier.ReleaseJob{Job: job.spec.ID, Owner: job.owner, Epoch: job.epoch}})
-		return
 	}
 	c.out = append(c.out, Propose{specifier.FinishJob{Job: job.spec.ID, Owner: job.owner, Epoch: job.epoch, Answer: job.answer}})
 }
@@ -89,19 +87,6 @@
 	}
 }
 
-func (c *Coordinator) releaseDecided(now time.Time, command specifier.ReleaseJob, d specifier.Decision) {
-	job := c.jobs[command.Job]
-	if job == nil || job.epoch != command.Epoch || job.phase != recording {
-		return
-	}
-	if d.Verdict == specifier.Applied {
-		c.give(now, job, job.answer)
-	} else {
-		c.give(now, job, specifier.Fail(specifier.Superseded, "another entry took the job over", true))
-	}
-	delete(c.jobs, command.Job)
-}
-
 func (c *Coordinator) taskDone(now time.Time, e TaskDone) {
 	c.Scheduler.Done(now, e.Agent, e.Key, !e.Broken, e.RunTime)
 	job := c.jobs[e.Key.Job]
@@ -171,6 +156,12 @@
 	if c.memberVersion < job.members {
 		return
 	}
+	if c.memberVersion > job.members {
+		// An agent may have left since the decision without ever being listed here: the decision is
+		// asked for again, with those that departed up to now.
+		c.retry(now, job)
+		return
+	}
 	job.asked = make(map[specifier.Identity]bool)
 	for _, agent := range slices.SortedFunc(maps.Keys(c.agents), compareIdentity) {
 		job.asked[agent] = true
@@ -182,7 +173,8 @@
 }
 
 func (c *Coordinator) fence(job *job, agent specifier.Identity) {
-	c.out = append(c.out, Fence{Agent: agent, Job: job.spec.ID, Epoch: job.epoch, Deadline: job.spec.Deadline})
+	c.mark++
+	c.out = append(c.out, Fence{Agent: agent, Job: job.spec.ID, Epoch: job.epoch, Deadline: job.spec.Deadline, Mark: c.mark})
 }
 
 func (c *Coordinator) reported(now time.Time, e Reported) {
@@ -227,8 +219,9 @@
 		}
 	}
 	for i := range job.slots {
-		// What this entry sent and the agent does not list never arrived there.
-		if job.slots[i].held == e.Agent && !listed[job.slots[i].result.Task] {
+		// What this entry sent before it asked and the agent does not list never arrived there. What
+		// was sent after the question may be on its way: taking it for lost would start it twice.
+		if job.slots[i].held == e.Agent && job.slots[i].mark < e.Mark && !listed[job.slots[i].result.Task] {
 			job.slots[i].held = specifier.Identity{}
 			c.Scheduler.Refused(now, e.Agent, specifier.TaskKey{Job: e.Job, Task: job.slots[i].result.Task})
 		}
@@ -246,8 +239,10 @@
 	case job.fetched:
 		c.give(now, job, specifier.Fail(specifier.ResultsLost, "the job completed, but its results are no longer held", true))
 		delete(c.jobs, job.spec.ID)
+	case job.left == 0:
+		c.run(now, job)
 	case job.unknown && !job.profile.Repeatable && c.missing(job):
-		c.fail(now, job, specifier.WorkerLost, "a worker left that may have run a task")
+		c.fail(now, job, specifier.OwnerLost, "the entry that ran the job was lost, and so was a worker that may have run a task")
 	case job.cancel:
 		c.fail(now, job, specifier.Cancelled, "the caller cancelled the job")
 	default:
@@ -275,6 +270,9 @@
 		return
 	}
 	c.memberVersion = e.Version
+	if c.expelled(e.Members) {
+		c.disown(now)
+	}
 	gone := maps.Clone(c.agents)
 	clear(c.agents)
 	for _, member := range e.Members {
@@ -284,14 +282,35 @@
 		}
 	}
 	c.Scheduler.SetMembers(now, e.Members)
-	for agent := range gone {
+	for _, agent := range slices.SortedFunc(maps.Keys(gone), compareIdentity) {
 		delete(c.linked, agent)
+		c.noteDown(agent)
 	}
 	for _, job := range c.sorted(func(j *job) bool { return j.phase == running || j.phase == collecting }) {
 		c.agentsGone(now, job, gone)
 	}
 }
 
+// expelled reports whether this entry's own incarnation is recorded as Down or replaced.
+func (c *Coordinator) expelled(members []specifier.Member) bool {
+	return slices.ContainsFunc(members, func(m specifier.Member) bool {
+		return m.Name == c.self.Name && (m.Identity != c.self || m.State == specifier.Down)
+	})
+}
+
+// disown stops every job that runs under an identity that is recorded as Down, until the record tells who
+// owns it. Another entry may have taken it over and fenced the agents of that time, but not one that joined
+// since: a task sent there would start twice.
+func (c *Coordinator) disown(now time.Time) {
+	for _, job := range c.sorted(func(j *job) bool { return j.phase == running || (j.phase == collecting && !j.fetched) }) {
+		c.superseded(now, job)
+	}
+}
+
+func (c *Coordinator) noteDown(agent specifier.Identity) {
+	c.out = append(c.out, Note{recorder.Event{Kind: recorder.MemberDown, Other: agent.String()}})
+}
+
 // agentsGone handles the loss of agents that are recorded as Down.
 func (c *Coordinator) agentsGone(now time.Time, job *job, gone map[specifier.Identity]specifier.Member) {
 	if job.phase == collecting && job.asked == nil {
--- a/entry/coordinator/slot.go
+++ b/entry/coordinator/slot.go
@@ -6,5 +6,6 @@
 type slot struct {
 	done   bool
 	held   specifier.Identity // the agent that was sent the task, until it is done or refused
+	mark   uint64             // position of the assignment among all assignments and fences
 	result specifier.Result
 }
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -12,11 +12,12 @@
 func (c *Coordinator) submitted(now time.Time, e Submitted) {
 	digest := specifier.NewDigest(e.Job)
 	if known := c.jobs[e.Job.ID]; known != nil {
-		c.attach(known, digest, e.Waiter)
+		c.note(recorder.JobSubmitted, known, "", "", fmt.Sprintf("%d tasks", len(e.Job.Tasks)))
+		c.attach(known, digest, waiting{waiter: e.Waiter, caller: true})
 		return
 	}
 	job := newJob(now, e.Job, digest)
-	job.waiters = []Waiter{e.Waiter}
+	job.waiters = []waiting{{waiter: e.Waiter, caller: true}}
 	c.note(recorder.JobSubmitted, job, "", "", fmt.Sprintf("%d tasks", len(e.Job.Tasks)))
 	if len(c.jobs) >= c.MaxJobs {
 		c.give(now, job, specifier.Fail(specifier.Overloaded,
@@ -27,25 +28,25 @@
 	c.wakeAt(job, e.Job.Deadline)
 	c.wakeAt(job, now.Add(decideBound))
 	if refusal := c.check(now, job); refusal != nil {
-		c.lookUp(job, *refusal)
+		c.refuse(job, *refusal)
 		return
 	}
 	c.propose(now, job)
 }
 
 // attach adds a waiter to a job that is known here.
-func (c *Coordinator) attach(job *job, digest specifier.Digest, waiter Waiter) {
-	if job.digest != digest {
-		c.out = append(c.out, Reply{Waiter: waiter, Job: job.spec.ID,
-			Answer: specifier.Refuse(specifier.KeyReused, "the key was used with another body")})
+func (c *Coordinator) attach(known *job, digest specifier.Digest, to waiting) {
+	if known.digest != digest {
+		refused := &job{spec: specifier.Job{ID: known.spec.ID}, answer: specifier.Refuse(specifier.KeyReused, "the key was used with another body")}
+		c.reply(refused, to)
 		return
 	}
-	c.note(recorder.JobAttached, job, "", "", "")
-	if job.phase == answered {
-		c.reply(job, waiter)
+	c.note(recorder.JobAttached, known, "", "", "")
+	if known.phase == answered {
+		c.reply(known, to)
 		return
 	}
-	job.waiters = append(job.waiters, waiter)
+	known.waiters = append(known.waiters, to)
 }
 
 // check returns why the job can't run under the configuration in force, or nil. It sets the
@@ -77,17 +78,18 @@
 	return nil
 }
 
-// lookUp asks the controllers whether the key is known before the job is refused: an earlier
-// submission may have run through another entry, and then NotRun would be false.
-func (c *Coordinator) lookUp(job *job, refusal specifier.Answer) {
+// refuse records the refusal before it is answered: an earlier submission under the key may have
+// run through another entry, and then NotRun would be false.
+func (c *Coordinator) refuse(job *job, refusal specifier.Answer) {
 	job.refusal = &refusal
-	job.phase = looking
-	c.out = append(c.out, Propose{specifier.LookupJob{Job: job.spec.ID, Digest: job.digest}})
+	job.phase = refusing
+	c.out = append(c.out, Propose{specifier.RefuseJob{Job: job.spec.ID, Digest: job.digest, Revision: c.configuration.Revision, Answer: refusal}})
 }
 
 func (c *Coordinator) propose(now time.Time, job *job) {
+	job.refusal = nil
 	if refusal := c.check(now, job); refusal != nil && job.replaces == 0 {
-		c.lookUp(job, *refusal)
+		c.refuse(job, *refusal)
 		return
 	}
 	job.phase = proposing
@@ -118,8 +120,8 @@
 
 func (c *Coordinator) decided(now time.Time, e Decided) {
 	switch command := e.Command.(type) {
-	case specifier.LookupJob:
-		if job := c.jobs[command.Job]; job != nil && job.phase == looking {
+	case specifier.RefuseJob:
+		if job := c.jobs[command.Job]; job != nil && job.phase == refusing {
 			c.route(now, job, e.Decision)
 		}
 	case specifier.AcceptJob:
@@ -128,8 +130,6 @@
 		c.proposalDecided(now, command.Job, command.Owner, command.Replaces, e.Decision)
 	case specifier.FinishJob:
 		c.finishDecided(now, command, e.Decision)
-	case specifier.ReleaseJob:
-		c.releaseDecided(now, command, e.Decision)
 	case specifier.CancelJob:
 		c.cancelDecided(command.Job, e.Decision)
 	}
@@ -158,9 +158,6 @@
 		c.attachedElsewhere(now, job, d)
 	case specifier.Finished:
 		c.finishedEarlier(now, job, d)
-	case specifier.Unknown:
-		c.give(now, job, *job.refusal)
-		delete(c.jobs, job.spec.ID)
 	case specifier.Conflict:
 		c.give(now, job, specifier.Refuse(specifier.KeyReused, "the key was used with another body"))
 		delete(c.jobs, job.spec.ID)
@@ -178,10 +175,15 @@
 }
 
 func (c *Coordinator) accepted(now time.Time, job *job, d specifier.Decision) {
+	// An epoch that this job already had is not a new run: its tasks may have started under it.
+	again := d.Epoch == job.epoch
 	job.epoch = d.Epoch
-	if job.replaces != 0 {
+	if job.replaces != 0 || again {
 		c.note(recorder.JobTaken, job, "", "", "")
-		job.unknown = len(d.Departed) > 0
+		job.unknown = again || len(d.Departed) > 0
+		for _, agent := range d.Departed {
+			c.noteDown(agent)
+		}
 		c.collect(now, job, d)
 		return
 	}
@@ -195,6 +197,10 @@
 
 func (c *Coordinator) attachedElsewhere(now time.Time, job *job, d specifier.Decision) {
 	switch {
+	case d.Owner == c.self:
+		// An earlier proposal of this entry took the job over after its callers had been answered.
+		job.replaces = d.Epoch
+		c.propose(now, job)
 	case d.OwnerDown && job.refusal != nil:
 		c.give(now, job, specifier.Fail(specifier.Unavailable, "the entry that ran the job is down, and this one can't take it over: "+job.refusal.Detail, true))
 		delete(c.jobs, job.spec.ID)
@@ -241,7 +247,7 @@
 		c.out = append(c.out, Reply{Waiter: e.Waiter, Job: e.Job, Gone: true})
 		return
 	}
-	c.attach(job, job.digest, e.Waiter)
+	c.attach(job, job.digest, waiting{waiter: e.Waiter})
 	if e.Cancel {
 		c.cancel(now, job)
 	}
@@ -249,7 +255,7 @@
 
 func (c *Coordinator) cancelRequested(now time.Time, e CancelRequested) {
 	if job := c.jobs[e.Job]; job != nil && job.owned() {
-		c.attach(job, job.digest, e.Waiter)
+		c.attach(job, job.digest, waiting{waiter: e.Waiter})
 		c.cancel(now, job)
 		return
 	}
@@ -257,10 +263,11 @@
 	c.out = append(c.out, Propose{specifier.CancelJob{Job: e.Job}})
 }
 
-// cancel ends a job that this entry owns.
+// cancel ends a job that this entry owns. While the agents' records are collected the former
+// owner may have answered already, so the cancellation waits for them.
 func (c *Coordinator) cancel(now time.Time, job *job) {
 	job.cancel = true
-	if job.phase == running || job.phase == collecting {
+	if job.phase == running {
 		c.fail(now, job, specifier.Cancelled, "the caller cancelled the job")
 	}
 }
@@ -285,14 +292,12 @@
 }
 
 func (c *Coordinator) abandoned(e Abandoned) {
-	remove := func(waiters []Waiter) []Waiter {
-		return slices.DeleteFunc(waiters, func(w Waiter) bool { return w == e.Waiter })
-	}
 	if job := c.jobs[e.Job]; job != nil {
-		job.waiters = remove(job.waiters)
+		job.waiters = slices.DeleteFunc(job.waiters, func(w waiting) bool { return w.waiter == e.Waiter })
 	}
-	if waiters := remove(c.cancels[e.Job]); len(waiters) > 0 {
-		c.cancels[e.Job] = waiters
+	cancels := slices.DeleteFunc(c.cancels[e.Job], func(w Waiter) bool { return w == e.Waiter })
+	if len(cancels) > 0 {
+		c.cancels[e.Job] = cancels
 	} else {
 		delete(c.cancels, e.Job)
 	}
--- a/entry/linker/messages.go
+++ b/entry/linker/messages.go
@@ -26,7 +26,7 @@
 
 // EncodeFence turns the deadline into the time left at now.
 func EncodeFence(f coordinator.Fence, now time.Time) *encoder.EntryMessage {
-	return &encoder.EntryMessage{Fences: []*encoder.Fence{{Job: f.Job[:], Epoch: uint64(f.Epoch), TimeLeft: int64(f.Deadline.Sub(now))}}}
+	return &encoder.EntryMessage{Fences: []*encoder.Fence{{Job: f.Job[:], Epoch: uint64(f.Epoch), TimeLeft: int64(f.Deadline.Sub(now)), Mark: f.Mark}}}
 }
 
 // merge joins leading messages of one kind, so that the order between kinds is kept: an agent
@@ -98,7 +98,7 @@
 	if len(m.Tasks) > specifier.MaxTasks {
 		return nil, errors.Newf("link: Report.Tasks has %d items, expected at most %d", len(m.Tasks), specifier.MaxTasks)
 	}
-	report := coordinator.Reported{Agent: agent, Job: key.Job, Epoch: specifier.Epoch(m.Epoch)}
+	report := coordinator.Reported{Agent: agent, Job: key.Job, Epoch: specifier.Epoch(m.Epoch), Mark: m.Mark}
 	for _, task := range m.Tasks {
 		report.Tasks = append(report.Tasks, specifier.TaskReport{Task: task.Task, State: specifier.TaskState(task.State), Body: task.Body, Detail: task.Detail})
 	}
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 // Site is a whole site. Exported fields are set before Start.
 type Site struct {
 	Layout      Layout
+	DataFolder  string   // holds a data folder for each controller
 	Zones       []string // availability zones
 	Service     string
 	Entries     int
@@ -104,18 +106,19 @@
 
 func (s *Site) zone(i int) string { return s.Zones[i%len(s.Zones)] }
 
-func (s *Site) servers() []replicator.Server {
-	var servers []replicator.Server
+func (s *Site) peers() []server.Peer {
+	var peers []server.Peer
 	for i := range s.Controllers {
-		id := replicator.ServerID{Name: fmt.Sprintf("controller-%d", i+1), Disk: uint64(i + 1)}
-		servers = append(servers, replicator.Server{ID: id, Addr: s.Layout.Controller(i), Voter: true})
+		peers = append(peers, server.Peer{Name: fmt.Sprintf("controller-%d", i+1), Addr: s.Layout.Controller(i)})
 	}
-	return servers
+	return peers
 }
 
 func (s *Site) startController(i int) *process {
-	controller := &server.Controller{Name: fmt.Sprintf("controller-%d", i+1), Addr: s.Layout.Controller(i), Servers: s.servers(),
-		MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Credentials: insecure.NewCredentials(), Log: s.Log}
+	name := fmt.Sprintf("controller-%d", i+1)
+	controller := &server.Controller{Name: name, Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
+		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
+		Credentials: insecure.NewCredentials(), Log: s.Log}
 	return start(s.ctx, s.group, controller.Run)
 }
 
--- a/local/replaycommand.go
+++ b/local/replaycommand.go
@@ -50,7 +50,13 @@
 		defer file.Close()
 		starts.Out = file
 	}
+	folder, err := os.MkdirTemp("", "oleandertally-local-")
+	if err != nil {
+		return 0, errors.Wrap(err, "create the data folder")
+	}
+	defer os.RemoveAll(folder)
 	site := c.site(starts)
+	site.DataFolder = folder
 	if err := site.Start(ctx); err != nil {
 		return 0, errors.CombineErrors(err, site.Stop())
 	}
--- a/state/registrar/decode.go
+++ b/state/registrar/decode.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	r.index, r.now, r.configuration, r.changed = m.Index, time.Unix(0, m.Now), configuration, m.Changed
+	r.memberVersion = m.MemberVersion
 	for _, item := range m.Members {
 		member, err := encoder.DecodeMember(item)
 		if err != nil {
@@ -141,7 +142,7 @@
 
 func (d *decoder) columns(m *encoder.RegistrySubmissions) error {
 	rows := len(m.Phases)
-	lengths := []int{len(m.Jobs) / 16, len(m.Digests) / 16, len(m.Accepted), len(m.Epochs), len(m.Keeps), len(m.Owners), len(m.Answers)}
+	lengths := []int{len(m.Jobs) / 16, len(m.Digests) / 16, len(m.Accepted), len(m.Epochs), len(m.Keeps), len(m.Owners), len(m.Answers), len(m.Helds)}
 	if rows == 0 || slices.ContainsFunc(lengths, func(n int) bool { return n != rows }) {
 		return errors.Newf("Phases: has %d rows, other columns have %v", rows, lengths)
 	}
@@ -152,7 +153,7 @@
 		}
 		d.last = job
 		known := submission{digest: digest(m.Digests[16*i : 16*i+16]), accepted: m.Accepted[i], epoch: m.Epochs[i],
-			keep: seconds(m.Keeps[i]), phase: phase(m.Phases[i])}
+			keep: seconds(m.Keeps[i]), held: seconds(m.Helds[i]), phase: phase(m.Phases[i])}
 		if err := d.refer(&known, m.Owners[i], m.Answers[i]); err != nil {
 			return errors.Wrapf(err, "row %d", i)
 		}
@@ -164,11 +165,11 @@
 
 // refer resolves the positions of a row.
 func (d *decoder) refer(known *submission, owner, outcome uint32) error {
-	done := known.phase == finished || known.phase == cancelled
+	done := known.phase == finished || known.phase == cancelled || known.phase == refused
 	switch {
-	case known.phase < owned || known.phase > cancelled:
-		return errors.Newf("Phases: is %d, expected %d to %d", known.phase, owned, cancelled)
-	case int(owner) > len(d.owners) || (owner == 0) != (known.phase == cancelled):
+	case known.phase < owned || known.phase > refused:
+		return errors.Newf("Phases: is %d, expected %d to %d", known.phase, owned, refused)
+	case int(owner) > len(d.owners) || (owner == 0) != (known.epoch == 0):
 		return errors.Newf("Owners: is %d of %d", owner, len(d.owners))
 	case int(outcome) > len(d.answers) || (outcome != 0) != done:
 		return errors.Newf("Answers: is %d of %d", outcome, len(d.answers))
--- a/state/registrar/image.go
+++ b/state/registrar/image.go
@@ -38,6 +38,7 @@
 		Now:           r.now.UnixNano(),
 		Configuration: encoder.EncodeConfiguration(r.configuration),
 		Changed:       r.changed,
+		MemberVersion: r.memberVersion,
 		Draining:      slices.Sorted(maps.Keys(r.draining)),
 		Answers:       uint64(len(answers)),
 		Submissions:   uint64(len(r.submissions)),
@@ -114,6 +115,7 @@
 		columns.Keeps = append(columns.Keeps, uint32(known.keep))
 		columns.Owners = append(columns.Owners, m.owners[known.owner])
 		columns.Answers = append(columns.Answers, m.outcomes[known.answer])
+		columns.Helds = append(columns.Helds, uint32(known.held))
 		columns.Phases = append(columns.Phases, byte(known.phase))
 	}
 	return columns
--- a/state/registrar/members.go
+++ b/state/registrar/members.go
@@ -98,12 +98,6 @@
 	return members
 }
 
-// Member returns the newest incarnation of name.
-func (r *Registrar) Member(name string) (specifier.Member, bool) {
-	known, ok := r.members[name]
-	return known, ok
-}
-
 // depart remembers an incarnation that goes Down, unless it is Down already.
 func (r *Registrar) depart(known specifier.Member) {
 	if known.State == specifier.Down {
--- a/state/registrar/phase.go
+++ b/state/registrar/phase.go
@@ -9,4 +9,5 @@
 	released  phase = 3 // no task has started under its epoch and none will
 	finished  phase = 4
 	cancelled phase = 5 // cancelled before it was accepted, so its digest is unknown
+	refused   phase = 6 // answered NotRun; may be accepted once held is reached
 )
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -20,6 +20,7 @@
 	answers       collector.Interner[answer]
 	expiring      collector.Heap[expiry]
 	members       map[string]specifier.Member
+	memberVersion uint64
 	departed      departures
 	draining      map[string]bool // by an operator, outlives restarts of the member
 	configuration specifier.Configuration
@@ -56,6 +57,7 @@
 		decisions[i] = r.apply(command)
 		if _, ok := command.(specifier.ChangeConfiguration); !ok {
 			decisions[i].Revision = r.configuration.Revision
+			decisions[i].MemberVersion = r.memberVersion
 		}
 	}
 	return decisions
@@ -83,6 +85,8 @@
 		return r.release(command)
 	case specifier.CancelJob:
 		return r.cancel(command)
+	case specifier.RefuseJob:
+		return r.refuse(command)
 	case specifier.JoinMember:
 		return r.join(command)
 	case specifier.EndMember:
--- a/state/registrar/submission.go
+++ b/state/registrar/submission.go
@@ -9,5 +9,6 @@
 	keep     seconds // on the log's clock
 	owner    uint32  // number in Registrar.owners
 	answer   uint32  // number in Registrar.answers
+	held     seconds // until when a refusal is repeated
 	phase    phase
 }
--- a/state/registrar/submissions.go
+++ b/state/registrar/submissions.go
@@ -11,16 +11,16 @@
 	switch {
 	case ok && known.phase == cancelled:
 		return r.finished(known)
-	case ok && known.digest != shorten(c.Digest):
+	case ok && known.digest != shorten(c.Digest) && !r.refusalOver(known):
 		return specifier.Decision{Verdict: specifier.Conflict, Detail: "the key was used with another body"}
-	case ok && known.phase == finished:
+	case ok && (known.phase == finished || known.phase == refused && !r.refusalOver(known)):
 		return r.finished(known)
 	case !r.mayOwn(c.Owner):
 		return specifier.Decision{Verdict: specifier.Fenced, Detail: c.Owner.String() + " is not an entry that is up"}
 	case ok && known.phase == owned && r.owners.Get(known.owner) == c.Owner:
 		// The decision of an earlier proposal was lost on its way.
 		return specifier.Decision{Verdict: specifier.Accepted, Epoch: specifier.Epoch(known.epoch)}
-	case ok && known.phase != released:
+	case ok && known.phase != released && known.phase != refused:
 		// An entry that took the job over is attached to itself: tasks of the former owner may
 		// run, so it must propose TakeOverJob again and fence.
 		return r.attached(known)
@@ -30,6 +30,8 @@
 		return specifier.Decision{Verdict: specifier.Full}
 	}
 	known.digest, known.accepted, known.phase = shorten(c.Digest), r.index, owned
+	r.answers.Drop(known.answer)
+	known.answer, known.held = 0, 0
 	known.epoch++
 	r.own(&known, c.Owner)
 	r.put(c.Job, known, c.TimeLeft)
@@ -48,7 +50,7 @@
 		return specifier.Decision{Verdict: specifier.Conflict, Detail: "the key was used with another body"}
 	case known.phase == finished:
 		return r.finished(known)
-	case known.phase == released:
+	case known.phase == released || known.phase == refused:
 		return r.accept(specifier.AcceptJob{Job: c.Job, Digest: c.Digest, Owner: c.Owner, Revision: c.Revision, TimeLeft: c.TimeLeft})
 	case !r.mayOwn(c.Owner):
 		return specifier.Decision{Verdict: specifier.Fenced, Detail: c.Owner.String() + " is not an entry that is up"}
@@ -77,10 +79,13 @@
 		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Answer.Outcome: is empty"}
 	case !owner || known.phase == released || known.phase == cancelled:
 		return specifier.Decision{Verdict: specifier.Fenced}
-	case known.phase == finished:
+	case known.phase == finished || known.phase == refused:
 		return r.finished(known)
 	}
 	known.phase = finished
+	if c.Answer.Outcome == specifier.NotRun && c.Answer.Reason != specifier.Cancelled {
+		known.phase, known.held = refused, keepUntil(r.now.Add(specifier.RefusalHold))
+	}
 	known.answer = r.answers.Hold(answerOf(c.Answer))
 	r.submissions[c.Job] = known
 	return r.finished(known)
@@ -91,7 +96,7 @@
 	switch {
 	case !ok:
 		return specifier.Decision{Verdict: specifier.Rejected, Detail: "Job: unknown"}
-	case known.phase == finished || known.phase == cancelled:
+	case known.phase == finished || known.phase == cancelled || known.phase == refused:
 		return specifier.Decision{Verdict: specifier.Fenced}
 	case r.owners.Get(known.owner) != c.Owner || specifier.Epoch(known.epoch) != c.Epoch:
 		return specifier.Decision{Verdict: specifier.Fenced}
@@ -101,6 +106,39 @@
 	return specifier.Decision{Verdict: specifier.Applied}
 }
 
+// refuse records the refusal of a job that is not known, or was released or refused before.
+func (r *Registrar) refuse(c specifier.RefuseJob) specifier.Decision {
+	known, ok := r.submissions[c.Job]
+	switch {
+	case ok && known.phase == cancelled:
+		return r.finished(known)
+	case ok && known.phase != released && known.phase != refused && known.digest != shorten(c.Digest):
+		return specifier.Decision{Verdict: specifier.Conflict, Detail: "the key was used with another body"}
+	case ok && (known.phase == finished || known.phase == refused && !r.refusalOver(known)):
+		return r.finished(known)
+	case ok && known.phase != released && known.phase != refused:
+		return r.attached(known)
+	case c.Revision < r.configuration.Revision:
+		return specifier.Decision{Verdict: specifier.Stale}
+	case !ok && len(r.submissions) >= r.MaxSubmissions:
+		return specifier.Decision{Verdict: specifier.Full}
+	}
+	r.answers.Drop(known.answer)
+	known.answer = r.answers.Hold(answerOf(c.Answer))
+	known.digest, known.phase = shorten(c.Digest), refused
+	known.held = keepUntil(r.now.Add(specifier.RefusalHold))
+	if !ok {
+		known.accepted = r.index
+	}
+	r.remember(c.Job, known, known.held)
+	return r.finished(known)
+}
+
+// refusalOver reports whether a refused key may be accepted again.
+func (r *Registrar) refusalOver(known submission) bool {
+	return known.phase == refused && known.held.reached(r.now)
+}
+
 // cancel leaves a record of a job that nobody owns, so that a submission that arrives later is
 // answered with NotRun. Its deadline is unknown, so the record is kept as for the latest one.
 func (r *Registrar) cancel(c specifier.CancelJob) specifier.Decision {
@@ -108,13 +146,14 @@
 	switch {
 	case ok && (known.phase == finished || known.phase == cancelled):
 		return r.finished(known)
-	case ok && known.phase != released:
+	case ok && known.phase != released && known.phase != refused:
 		return r.attached(known)
 	case !ok && len(r.submissions) >= r.MaxSubmissions:
 		return specifier.Decision{Verdict: specifier.Full}
 	}
+	r.answers.Drop(known.answer)
 	known.answer = r.answers.Hold(answerOf(specifier.Refuse(specifier.Cancelled, "cancelled before it was accepted")))
-	if ok {
+	if known.epoch > 0 {
 		known.phase = finished
 		r.submissions[c.Job] = known
 		return r.finished(known)
@@ -160,7 +199,11 @@
 
 // put stores the submission and extends how long it is remembered, never shortens it.
 func (r *Registrar) put(id specifier.JobID, known submission, left time.Duration) {
-	if until := keepUntil(r.keepTime(left)); until > known.keep {
+	r.remember(id, known, keepUntil(r.keepTime(left)))
+}
+
+func (r *Registrar) remember(id specifier.JobID, known submission, until seconds) {
+	if until > known.keep {
 		known.keep = until
 		r.expiring.Push(expiry{keep: until, job: id})
 	}
--- a/state/snapshotter/receiver.go
+++ b/state/snapshotter/receiver.go
@@ -1,6 +1,8 @@
 package snapshotter
 
 import (
+	"io"
+
 	"github.com/cockroachdb/errors"
 
 	"oleandertally/state/journaler"
@@ -65,6 +67,19 @@
 	return r.meta, nil
 }
 
+// Content returns the body of the received snapshot, after Add returned its description.
+func (r *Receiver) Content() ([]byte, error) {
+	snapshot, cause, err := check(r.file)
+	if err != nil {
+		return nil, err
+	}
+	if cause != "" {
+		return nil, errors.Wrap(ErrTransfer, cause)
+	}
+	content, err := io.ReadAll(snapshot.Body())
+	return content, errors.Wrap(err, "read received snapshot")
+}
+
 // Install makes the received snapshot the newest one and returns once it survives a crash.
 // It is called once, after Add returned a description.
 func (r *Receiver) Install() error {
--- a/state/transporter/server.go
+++ b/state/transporter/server.go
@@ -12,8 +12,7 @@
 func encodeServers(servers []replicator.Server) []*Server {
 	var list []*Server
 	for _, server := range servers {
-		list = append(list, &Server{Id: encodeServerID(server.ID), Addr: server.Addr.String(), Voter: server.Voter,
-			Replaces: encodeServerID(server.Replaces)})
+		list = append(list, EncodeServer(server))
 	}
 	return list
 }
@@ -24,19 +23,33 @@
 	}
 	var servers []replicator.Server
 	for _, m := range list {
-		id, err := decodeServerID(m.GetId())
+		server, err := DecodeServer(m)
 		if err != nil {
 			return nil, err
 		}
-		replaces, err := decodeServerID(m.GetReplaces())
-		if err != nil {
-			return nil, err
-		}
-		addr, err := netip.ParseAddrPort(m.GetAddr())
-		if err != nil {
-			return nil, malformed("Server.Addr", "is not IP:port")
-		}
-		servers = append(servers, replicator.Server{ID: id, Addr: addr, Voter: m.GetVoter(), Replaces: replaces})
+		servers = append(servers, server)
 	}
 	return servers, nil
 }
+
+// EncodeServer copies every field.
+func EncodeServer(server replicator.Server) *Server {
+	return &Server{Id: encodeServerID(server.ID), Addr: server.Addr.String(), Voter: server.Voter, Replaces: encodeServerID(server.Replaces)}
+}
+
+// DecodeServer returns ErrMalformed with the field that is wrong.
+func DecodeServer(m *Server) (replicator.Server, error) {
+	id, err := decodeServerID(m.GetId())
+	if err != nil {
+		return replicator.Server{}, err
+	}
+	replaces, err := decodeServerID(m.GetReplaces())
+	if err != nil {
+		return replicator.Server{}, err
+	}
+	addr, err := netip.ParseAddrPort(m.GetAddr())
+	if err != nil {
+		return replicator.Server{}, malformed("Server.Addr", "is not IP:port")
+	}
+	return replicator.Server{ID: id, Addr: addr, Voter: m.GetVoter(), Replaces: replaces}, nil
+}
