Add strict settings and profile files

Cause: programs need their names, addresses and limits from files, and a mistake in a file must be found before anything starts. Decoding goes on after a problem, so that all of them are reported with file, line and field.

--- /dev/null
+++ b/core/configurator/operatorsettings.go
@@ -0,0 +1,42 @@
+package configurator
+
+import (
+	"net/netip"
+	"time"
+)
+
+// OperatorSettings are the settings of the operators' command line.
+type OperatorSettings struct {
+	Name        string           `yaml:"Name"` // recorded with each change of the configuration
+	Controllers []netip.AddrPort `yaml:"Controllers"`
+	TokenFile   string           `yaml:"TokenFile"` // holds the operator's token
+	Timeout     time.Duration    `yaml:"Timeout"`   // for one command
+	MaxMessage  ByteSize         `yaml:"MaxMessage"`
+	Security    SecuritySettings `yaml:"Security"`
+}
+
+func (s *OperatorSettings) setDefaults() {
+	s.Timeout = 10 * time.Second
+	s.MaxMessage = defaultMaxMessage
+}
+
+func (s *OperatorSettings) resolve(folder string) {
+	s.Security.resolve(folder)
+	resolvePath(&s.TokenFile, folder)
+}
+
+func (s *OperatorSettings) check(c checker) {
+	c.name("Name", s.Name)
+	c.addrs("Controllers", s.Controllers)
+	inRange(c, "Timeout", s.Timeout, 100*time.Millisecond, time.Hour)
+	inRange(c, "MaxMessage", s.MaxMessage, Mebibyte, 64*Mebibyte)
+	s.Security.check(c.at("Security"))
+	for _, field := range []string{"Security.Teams", "Security.Operators"} {
+		if c.present(field) {
+			c.add(field, "has no effect at the command line")
+		}
+	}
+	if !s.Security.Insecure {
+		c.text("TokenFile", s.TokenFile, "the file with the operator's token")
+	}
+}
--- /dev/null
+++ b/core/configurator/profilesettings.go
@@ -0,0 +1,61 @@
+package configurator
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// ProfileSettings are the content of a profile file, from which an operator changes the configuration.
+type ProfileSettings struct {
+	Profiles []specifier.Profile `yaml:"Profiles"`
+	Teams    []specifier.Team    `yaml:"Teams"`
+}
+
+func (s *ProfileSettings) setDefaults() {}
+
+func (s *ProfileSettings) resolve(string) {}
+
+func (s *ProfileSettings) check(c checker) {
+	if len(s.Profiles)+len(s.Teams) == 0 {
+		c.add("Profiles", "missing, expected at least one profile or team")
+	}
+	profiles, teams := make(map[string]string), make(map[string]string)
+	for i, profile := range s.Profiles {
+		at := c.item("Profiles", i)
+		checkProfile(at, profile)
+		checkUnique(at, profile.Name, profiles)
+	}
+	for i, team := range s.Teams {
+		at := c.item("Teams", i)
+		at.name("Name", team.Name)
+		inRange(at, "Share", team.Share, 0, 1000)
+		at.noZero("Share", team.Share == 0)
+		checkUnique(at, team.Name, teams)
+	}
+}
+
+func checkProfile(c checker, p specifier.Profile) {
+	c.name("Name", p.Name)
+	c.name("Service", p.Service)
+	inRange(c, "MaxTimeLeft", p.MaxTimeLeft, 0, specifier.MaxTimeLeft)
+	inRange(c, "TypicalTime", p.TypicalTime, 0, specifier.MaxTimeLeft)
+	inRange(c, "QueueBound", p.QueueBound, 0, 1_000_000)
+	inRange(c, "RetryBudget", p.RetryBudget, 0, 1)
+	inRange(c, "Priority", p.Priority, 0, 9)
+	inRange(c, "LongShare", p.LongShare, 0, 1)
+	inRange(c, "BreakerAfter", p.BreakerAfter, 0, 1000)
+	c.noZero("MaxTimeLeft", p.MaxTimeLeft == time.Duration(0))
+	c.noZero("QueueBound", p.QueueBound == 0)
+	c.noZero("RetryBudget", p.RetryBudget == 0)
+	c.noZero("LongShare", p.LongShare == 0)
+	c.noZero("BreakerAfter", p.BreakerAfter == 0)
+}
+
+// noZero refuses a zero that is written down: it would mean the default, which is rarely what
+// its author expects.
+func (c checker) noZero(field string, zero bool) {
+	if zero && c.present(field) {
+		c.add(field, "0 means the default; leave the key out instead")
+	}
+}
