--- /dev/null
+++ b/core/supervisor/main_test.go
@@ -0,0 +1,10 @@
+package supervisor
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that are left after a shutdown.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/core/supervisor/step.go
@@ -0,0 +1,10 @@
+package supervisor
+
+import "context"
+
+// Step is one step of a graceful shutdown, such as draining the entry's callers.
+type Step struct {
+	Name string
+	// Run returns when the step is done, or early when ctx ends.
+	Run func(ctx context.Context) error
+}
