Add mutual TLS and tokens

Cause: processes must know who connects to them, and teams and operators must be told apart. Insecure: true turns all of it off.

--- /dev/null
+++ b/core/authenticator/authenticator.go
@@ -0,0 +1,133 @@
+package authenticator
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"oleandertally/core/configurator"
+	"oleandertally/core/specifier"
+)
+
+// Authenticator checks the peers, teams and operators of one process. It is safe for concurrent use.
+type Authenticator struct {
+	insecure     bool
+	certificates certificates
+	teams        Tokens
+	operators    Tokens
+}
+
+// New returns the authenticator of the process self. report gets the faults of later reloads; it
+// must not block. The error names the file that cannot be used.
+func New(settings configurator.SecuritySettings, self Peer, clock func() time.Time, report func(error)) (*Authenticator, error) {
+	a := &Authenticator{
+		insecure:     settings.Insecure,
+		certificates: certificates{settings: settings, self: self, clock: clock, report: report},
+		teams:        NewTokens(settings.Teams),
+		operators:    NewTokens(settings.Operators),
+	}
+	if a.insecure {
+		return a, nil
+	}
+	if err := a.certificates.load(); err != nil {
+		return nil, errors.Wrap(err, "security")
+	}
+	return a, nil
+}
+
+// NotAfter returns when the certificate of this process expires, zero when Insecure.
+func (a *Authenticator) NotAfter() time.Time {
+	if a.insecure {
+		return time.Time{}
+	}
+	return a.certificates.latest().certificate.Leaf.NotAfter
+}
+
+// ServerCredentials accept peers of the given roles.
+func (a *Authenticator) ServerCredentials(accepted ...specifier.Role) credentials.TransportCredentials {
+	if a.insecure {
+		return insecure.NewCredentials()
+	}
+	config := a.config(x509.ExtKeyUsageClientAuth, func(peer Peer) bool { return slices.Contains(accepted, peer.Role) })
+	config.ClientAuth = tls.RequireAnyClientCert // VerifyConnection verifies it
+	return credentials.NewTLS(config)
+}
+
+// ClientCredentials accept a server of the role, and with a name only that one.
+func (a *Authenticator) ClientCredentials(role specifier.Role, name string) credentials.TransportCredentials {
+	if a.insecure {
+		return insecure.NewCredentials()
+	}
+	config := a.config(x509.ExtKeyUsageServerAuth, func(peer Peer) bool {
+		return peer.Role == role && (name == "" || peer.Name == name)
+	})
+	// Replaces the check of the host name, which is an address here, by the one of role and name.
+	config.InsecureSkipVerify = true
+	return credentials.NewTLS(config)
+}
+
+// CallerTLS returns the TLS configuration of the entry's HTTP server, or nil when Insecure.
+// Callers show tokens, not certificates.
+func (a *Authenticator) CallerTLS() *tls.Config {
+	if a.insecure {
+		return nil
+	}
+	config := a.base()
+	config.NextProtos = []string{"h2", "http/1.1"}
+	return config
+}
+
+func (a *Authenticator) base() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		Time:       a.certificates.clock,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &a.certificates.latest().certificate, nil
+		},
+	}
+}
+
+// config verifies each connection against the authority in force at that time.
+func (a *Authenticator) config(usage x509.ExtKeyUsage, accepts func(Peer) bool) *tls.Config {
+	config := a.base()
+	config.SessionTicketsDisabled = true // links are few and long
+	config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return &a.certificates.latest().certificate, nil
+	}
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		return a.verify(state, usage, accepts)
+	}
+	return config
+}
+
+func (a *Authenticator) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, accepts func(Peer) bool) error {
+	if len(state.PeerCertificates) == 0 {
+		return ErrNoCertificate
+	}
+	leaf := state.PeerCertificates[0]
+	options := x509.VerifyOptions{
+		Roots:         a.certificates.latest().authority,
+		Intermediates: x509.NewCertPool(),
+		CurrentTime:   a.certificates.clock(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	}
+	for _, other := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(other)
+	}
+	if _, err := leaf.Verify(options); err != nil {
+		return errors.Wrap(err, "certificate of the peer")
+	}
+	peer, err := PeerOf(leaf)
+	if err != nil {
+		return err
+	}
+	if !accepts(peer) {
+		return errors.Wrapf(ErrWrongPeer, "%s", peer)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/authenticator/errors.go
@@ -0,0 +1,10 @@
+package authenticator
+
+import "github.com/cockroachdb/errors"
+
+// What a check refuses.
+var (
+	ErrUnauthorized  = errors.New("unknown name or wrong token")
+	ErrNoCertificate = errors.New("the peer sent no certificate")
+	ErrWrongPeer     = errors.New("the peer may not do this")
+)
