Give each type of the life cycle and settings its own file

Cause: a file holds one type, and three held two. Change: listener, fault and blockCount moved to files of their own.

--- a/core/configurator/blockcounter.go
+++ b/core/configurator/blockcounter.go
@@ -8,8 +8,6 @@
 	blocks []blockCount // by indentation
 }
 
-type blockCount struct{ lines, items int }
-
 // add counts a line and returns the size of its block so far.
 func (b *blockCounter) add(text string) blockCount {
 	content := strings.TrimLeft(text, " ")
--- a/core/configurator/listeners.go
+++ b/core/configurator/listeners.go
@@ -7,12 +7,6 @@
 	ports map[uint16][]listener
 }
 
-type listener struct {
-	host  netip.Addr // the address by which the process is known
-	addr  netip.Addr
-	field string
-}
-
 // add records that the process known as host listens on addr, and reports a clash with an
 // earlier one to c.
 func (l *listeners) add(c checker, field string, host, addr netip.AddrPort) {
@@ -31,13 +25,3 @@
 	}
 	l.ports[addr.Port()] = append(l.ports[addr.Port()], added)
 }
-
-// clashes reports whether both listen on an address in common. A wildcard or loopback address
-// means different sockets on different hosts.
-func (l listener) clashes(other listener) bool {
-	sameHost := l.host == other.host || l.host.IsLoopback() && other.host.IsLoopback()
-	if l.addr == other.addr {
-		return sameHost || !l.addr.IsUnspecified() && !l.addr.IsLoopback()
-	}
-	return sameHost && (l.addr.IsUnspecified() || other.addr.IsUnspecified())
-}
--- a/core/supervisor/faultlimiter.go
+++ b/core/supervisor/faultlimiter.go
@@ -12,11 +12,6 @@
 	faults map[string]*fault
 }
 
-type fault struct {
-	until   time.Time
-	dropped int
-}
-
 // Allow reports whether the fault called key may be logged at now, and how many equal ones were
 // dropped since the last.
 func (l *FaultLimiter) Allow(now time.Time, key string) (dropped int, ok bool) {
