Add tally, the operators' command line

Operators need one command for each thing they do, safe to give again after a lost answer, and usable from scripts.

Commands: check, profiles list/show/apply/compare/revert, status, drain, resume, stop and timeline, each in a file with its usage text on top. Every change prints its request id before it is sent and takes it back with -request; a change of the configuration names its revision, and the loser of a race is told who won. Tables for people, -json for programs, eight exit codes; errors end with what to do next. check has a table of kinds of files, to which the settings of the programs are added.

Tests run every command against a fake leader on loopback: lost answers, races, refused members, deadlines, missing processes. One test compares flags with usage texts both ways.

--- a/core/operator/follow.go
+++ b/core/operator/follow.go
@@ -16,6 +16,7 @@
 		if round > 0 && c.Pause(ctx, c.Between) != nil {
 			break
 		}
+		failed.Tried = nil
 		answer, err := askAll(ctx, c, failed, do)
 		if !errors.Is(err, errNoLeader) {
 			return answer, err
--- a/core/operator/unreachableerror.go
+++ b/core/operator/unreachableerror.go
@@ -5,7 +5,7 @@
 // UnreachableError means that no leading controller gave an answer. A change may be applied
 // all the same.
 type UnreachableError struct {
-	Tried []string // controller and what it answered, newest last
+	Tried []string // controller and what it answered, in the last round
 }
 
 // Error lists what was tried.
--- /dev/null
+++ b/tally/change.go
@@ -0,0 +1,19 @@
+package main
+
+import "oleandertally/core/specifier"
+
+// change is the result of one change, as -json prints it.
+type change struct {
+	Request  string
+	Member   string `json:",omitempty"`
+	From     specifier.Revision
+	Verdict  specifier.Verdict
+	Revision specifier.Revision // in force
+	Operator string             // Conflict: who made the change that won
+	Detail   string
+}
+
+func newChange(id, member string, from specifier.Revision, decision specifier.Decision) change {
+	return change{Request: id, Member: member, From: from, Verdict: decision.Verdict, Revision: decision.Revision,
+		Operator: decision.Operator, Detail: decision.Detail}
+}
--- /dev/null
+++ b/tally/changefile.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/goccy/go-yaml"
+
+	"oleandertally/core/specifier"
+)
+
+// changeFile is a file of profiles and teams.
+type changeFile struct {
+	Profiles       []specifier.Profile `yaml:"Profiles,omitempty"`
+	Teams          []specifier.Team    `yaml:"Teams,omitempty"`
+	RemoveProfiles []string            `yaml:"RemoveProfiles,omitempty"`
+	RemoveTeams    []string            `yaml:"RemoveTeams,omitempty"`
+}
+
+// parseChangeFile refuses unknown fields and reports every wrong value together.
+func parseChangeFile(name string, data []byte) (changeFile, error) {
+	var file changeFile
+	if len(data) > maxFile {
+		return file, fail(exitRejected, "", "%s: has more than %d bytes", name, maxFile)
+	}
+	if err := yaml.UnmarshalWithOptions(data, &file, yaml.Strict()); err != nil {
+		return file, fail(exitRejected, "", "%s: %v", name, err)
+	}
+	found := &specifier.Problems{}
+	repeats := make(map[string]bool)
+	for i, profile := range file.Profiles {
+		found.Merge(indexed("Profiles", i), profile.Check())
+		once(found, repeats, indexed("Profiles", i)+".Name", "profile "+profile.Name)
+	}
+	for i, team := range file.Teams {
+		found.Merge(indexed("Teams", i), team.Check())
+		once(found, repeats, indexed("Teams", i)+".Name", "team "+team.Name)
+	}
+	for i, name := range file.RemoveProfiles {
+		once(found, repeats, indexed("RemoveProfiles", i), "profile "+name)
+	}
+	for i, name := range file.RemoveTeams {
+		once(found, repeats, indexed("RemoveTeams", i), "team "+name)
+	}
+	if problems := found.OrNil(); problems != nil {
+		return file, fail(exitRejected, "", "%s: %v", name, problems)
+	}
+	return file, nil
+}
+
+func once(found *specifier.Problems, seen map[string]bool, field, item string) {
+	if seen[item] {
+		found.Add(field, "repeats %s", item)
+	}
+	seen[item] = true
+}
+
+// applied returns what configuration becomes by the file, for comparing.
+func (f changeFile) applied(configuration specifier.Configuration) specifier.Configuration {
+	next := specifier.Configuration{Profiles: maps.Clone(configuration.Profiles), Teams: maps.Clone(configuration.Teams)}
+	for _, profile := range f.Profiles {
+		next.Profiles[profile.Name] = profile
+	}
+	for _, team := range f.Teams {
+		next.Teams[team.Name] = team
+	}
+	for _, name := range f.RemoveProfiles {
+		delete(next.Profiles, name)
+	}
+	for _, name := range f.RemoveTeams {
+		delete(next.Teams, name)
+	}
+	return next
+}
+
+// newChangeFile returns a file with every profile and team of configuration, by name.
+func newChangeFile(configuration specifier.Configuration) changeFile {
+	var file changeFile
+	for _, name := range slices.Sorted(maps.Keys(configuration.Profiles)) {
+		file.Profiles = append(file.Profiles, configuration.Profiles[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(configuration.Teams)) {
+		file.Teams = append(file.Teams, configuration.Teams[name])
+	}
+	return file
+}
+
+// changeBetween returns the change that makes now into target.
+func changeBetween(now, target specifier.Configuration) changeFile {
+	var file changeFile
+	for _, profile := range newChangeFile(target).Profiles {
+		if current, ok := now.Profiles[profile.Name]; !ok || current != profile {
+			file.Profiles = append(file.Profiles, profile)
+		}
+	}
+	for _, team := range newChangeFile(target).Teams {
+		if current, ok := now.Teams[team.Name]; !ok || current != team {
+			file.Teams = append(file.Teams, team)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(now.Profiles)) {
+		if _, ok := target.Profiles[name]; !ok {
+			file.RemoveProfiles = append(file.RemoveProfiles, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(now.Teams)) {
+		if _, ok := target.Teams[name]; !ok {
+			file.RemoveTeams = append(file.RemoveTeams, name)
+		}
+	}
+	return file
+}
+
+func (f changeFile) isEmpty() bool {
+	return len(f.Profiles)+len(f.Teams)+len(f.RemoveProfiles)+len(f.RemoveTeams) == 0
+}
+
+func indexed(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/tally/check.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+const checkUsage = `tally check [flags] FILE ...
+  Checks files before they are used, without asking any process. Code 7: problems were found.
+
+Flags:
+  -kind KIND         what the files hold; default profiles
+  -json              print JSON for programs instead of lines
+
+Examples:
+  tally check holds.yaml
+  tally check -kind profiles profiles/*.yaml
+`
+
+// checkers holds the check of each kind of file: it gets the file's name and content. The kinds
+// of settings are added by the package that reads them.
+var checkers = map[string]func(name string, data []byte) error{
+	"profiles": func(name string, data []byte) error {
+		_, err := parseChangeFile(name, data)
+		return err
+	},
+}
+
+// checkCommand checks files.
+type checkCommand struct {
+	env  *environment
+	kind string
+	json bool
+}
+
+func (c *checkCommand) name() string  { return "check" }
+func (c *checkCommand) usage() string { return checkUsage }
+
+func (c *checkCommand) setFlags(f *flag.FlagSet) {
+	f.StringVar(&c.kind, "kind", "profiles", "")
+	f.BoolVar(&c.json, "json", false, "")
+}
+
+func (c *checkCommand) run(_ context.Context, args []string) error {
+	check, ok := checkers[c.kind]
+	if !ok {
+		kinds := strings.Join(slices.Sorted(maps.Keys(checkers)), ", ")
+		return fail(exitUsage, "", "-kind is %q, expected one of: %s", c.kind, kinds)
+	}
+	if len(args) == 0 {
+		return fail(exitUsage, "see: tally help check", "no files")
+	}
+	var reports []checked
+	problems := 0
+	for _, name := range args {
+		report := checked{File: name}
+		data, err := c.env.readFile(name)
+		if err == nil {
+			err = check(name, data)
+		}
+		if err != nil {
+			report.Problem = strings.TrimPrefix(err.Error(), name+": ")
+			problems++
+		}
+		reports = append(reports, report)
+	}
+	if err := c.print(reports); err != nil {
+		return err
+	}
+	if problems > 0 {
+		return fail(exitDifferent, "", "%d of %d files have problems", problems, len(args))
+	}
+	return nil
+}
+
+func (c *checkCommand) print(reports []checked) error {
+	if c.json {
+		return writeJSON(c.env.stdout, reports)
+	}
+	for _, report := range reports {
+		if report.Problem == "" {
+			report.Problem = "correct"
+		}
+		fmt.Fprintf(c.env.stdout, "%s: %s\n", report.File, report.Problem)
+	}
+	return nil
+}
--- /dev/null
+++ b/tally/failure.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+
+	"oleandertally/core/operator"
+)
+
+// failure is an error with its exit code and what to do next.
+type failure struct {
+	status  subcommands.ExitStatus
+	message string
+	next    string // empty when the message says it all
+}
+
+// Error returns the message and, on a line of its own, what to do next.
+func (f *failure) Error() string {
+	if f.next == "" {
+		return f.message
+	}
+	return f.message + "\n  next: " + f.next
+}
+
+func fail(status subcommands.ExitStatus, next, format string, args ...any) error {
+	return &failure{status: status, message: fmt.Sprintf(format, args...), next: next}
+}
+
+// explain turns an error of the client into a failure.
+func explain(err error) error {
+	var unreachable *operator.UnreachableError
+	switch {
+	case errors.As(err, &unreachable):
+		return fail(exitUnreachable, "check the addresses of -controllers, and that a majority of the controllers runs", "%v", err)
+	case errors.Is(err, operator.ErrNotHeld):
+		return fail(exitFailed, "use a newer revision, or apply a saved file with: tally profiles apply FILE", "%v", err)
+	}
+	return err
+}
--- /dev/null
+++ b/tally/members.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+
+	"oleandertally/core/operator"
+	"oleandertally/core/specifier"
+)
+
+// members holds the flags and arguments that select members.
+type members struct {
+	request
+	zone string
+}
+
+// memberFlags is their part of a usage text.
+const memberFlags = `  -zone NAME         every member of this availability zone
+`
+
+func (m *members) setFlags(f *flag.FlagSet) {
+	m.request.setFlags(f)
+	f.StringVar(&m.zone, "zone", "", "")
+}
+
+// selected returns the members that are named, or those of the zone that are not Down.
+func (m *members) selected(state operator.State, names []string) ([]specifier.Member, error) {
+	if (m.zone == "") == (len(names) == 0) {
+		return nil, fail(exitUsage, "", "give either names of members or -zone NAME")
+	}
+	var found []specifier.Member
+	for _, member := range state.Members {
+		if m.zone != "" && member.Zone == m.zone && member.State != specifier.Down || slices.Contains(names, member.Name) {
+			found = append(found, member)
+		}
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(found, func(member specifier.Member) bool { return member.Name == name }) {
+			return nil, fail(exitFailed, "see the names with: tally status", "no member is named %q", name)
+		}
+	}
+	if len(found) == 0 {
+		return nil, fail(exitFailed, "see the names with: tally status", "no member that runs is in zone %q", m.zone)
+	}
+	return found, nil
+}
+
+// setDraining sends the change for each selected member and returns the members. Every member
+// is tried, so that one refusal does not keep a zone half drained.
+func (m *members) setDraining(ctx context.Context, names []string, draining bool) ([]specifier.Member, []change, error) {
+	client, err := m.client()
+	if err != nil {
+		return nil, nil, err
+	}
+	state, err := client.Read(ctx, 0)
+	if err != nil {
+		return nil, nil, explain(err)
+	}
+	found, err := m.selected(state, names)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := m.announce(fmt.Sprintf(" for %d members", len(found))); err != nil {
+		return nil, nil, err
+	}
+	var changes []change
+	var refused []string
+	for _, member := range found {
+		decision, err := m.send(ctx, client, specifier.DrainMember{Name: member.Name, Draining: draining})
+		if err != nil {
+			return found, changes, err
+		}
+		changes = append(changes, newChange(m.id, member.Name, 0, decision))
+		if decision.Verdict != specifier.Applied {
+			refused = append(refused, member.Name+": "+decision.Detail)
+		}
+	}
+	if len(refused) > 0 {
+		return found, changes, fail(exitRejected, "see the members with: tally status", "refused for %s", strings.Join(refused, "; "))
+	}
+	return found, changes, nil
+}
+
+// print writes what was decided for each member.
+func (m *members) print(changes []change) error {
+	if m.json {
+		return writeJSON(m.env.stdout, changes)
+	}
+	var rows [][]string
+	for _, c := range changes {
+		rows = append(rows, []string{c.Member, string(c.Verdict), orDash(c.Detail)})
+	}
+	writeTable(m.env.stdout, []string{"MEMBER", "VERDICT", "DETAIL"}, rows)
+	return nil
+}
