Follow what entries and agents record

An agent refuses a task it never held without a record, so counting its replies together matched a refusal with a result.

The sequencer pairs results and the refusals of each cause apart, and the summary counts refusals as the entries were told of them.

--- a/core/reporter/values.go
+++ b/core/reporter/values.go
@@ -15,6 +15,7 @@
 	verdicts = []specifier.Verdict{
 		specifier.Accepted, specifier.Attached, specifier.Finished, specifier.Conflict, specifier.Stale,
 		specifier.Fenced, specifier.Applied, specifier.Rejected, specifier.Full, specifier.NotLeader,
+		specifier.Unknown,
 	}
 	roles  = []specifier.Role{specifier.Entry, specifier.Agent, specifier.Controller}
 	states = []specifier.MemberState{specifier.Up, specifier.Draining, specifier.Down}
--- a/core/sequencer/lines.go
+++ b/core/sequencer/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"oleandertally/core/recorder"
 )
@@ -28,7 +29,7 @@
 		lines = append(lines, fmt.Sprintf("  refused by agents\t%d tasks: %s", refusal.Tasks, refusal.Cause))
 	}
 	for _, answer := range s.Answers {
-		lines = append(lines, fmt.Sprintf("  answer\t%s by %s", answer.Detail, recorder.ProcessName(answer.Process)))
+		lines = append(lines, fmt.Sprintf("  answer\t%s, by %s", strings.TrimSpace(answer.Detail), recorder.ProcessName(answer.Process)))
 	}
 	if len(s.Epochs) > 1 {
 		for _, owned := range s.Epochs {
--- a/core/sequencer/merge.go
+++ b/core/sequencer/merge.go
@@ -35,9 +35,14 @@
 	slices.SortStableFunc(events, func(a, b recorder.Event) int {
 		return cmp.Or(cmp.Compare(a.Process, b.Process), cmp.Compare(a.Sequence, b.Sequence))
 	})
-	return slices.CompactFunc(events, func(a, b recorder.Event) bool {
-		return a.Process == b.Process && a.Sequence == b.Sequence
-	})
+	return slices.CompactFunc(events, isSame)
+}
+
+// isSame compares every field, so that two runs that share a process name lose nothing.
+func isSame(a, b recorder.Event) bool {
+	same := a.At.Equal(b.At)
+	a.At = b.At
+	return same && a == b
 }
 
 func processes(events []recorder.Event) []string {
--- a/core/sequencer/phases.go
+++ b/core/sequencer/phases.go
@@ -27,7 +27,7 @@
 
 // collecting is the time from the last result to the answer.
 func (s *summarizer) collecting() Phase {
-	if s.refused != nil {
+	if s.isRefused() {
 		return Phase{Name: Answering, State: Skipped}
 	}
 	return s.between(Answering, s.returned, s.answered, nil)
@@ -53,8 +53,8 @@
 		return before
 	}
 	assigned := s.assigned
-	if s.refused != nil {
-		assigned = nil // the task waits at the entry again
+	if s.isRefused() {
+		assigned = nil
 	}
 	after := s.between(AtEntry, s.accepted, assigned, s.answered)
 	after.Spent += before.Spent
--- a/core/sequencer/summarizer.go
+++ b/core/sequencer/summarizer.go
@@ -159,17 +159,21 @@
 	return len(tasks)
 }
 
+// isRefused reports whether the last assignment of the task was refused, so that it waits at the
+// entry again.
+func (s *summarizer) isRefused() bool {
+	return s.refused != nil || s.returned != nil && recorder.IsRefusal(s.returned.Event)
+}
+
+// refusals counts what the entries were told, because agents do not record every refusal.
 func (s *summarizer) refusals() []Refusal {
 	var found []Refusal
 	position := make(map[string]int)
 	for _, entry := range s.entries {
-		if entry.Kind != recorder.TaskRefused {
+		if !recorder.IsRefusal(entry.Event) {
 			continue
 		}
-		cause := entry.Detail
-		if cause == "" {
-			cause = "no cause given"
-		}
+		cause := recorder.RefusalCause(entry.Event)
 		i, ok := position[cause]
 		if !ok {
 			i = len(found)
--- a/core/sequencer/taskcauses.go
+++ b/core/sequencer/taskcauses.go
@@ -33,32 +33,54 @@
 	return arrived
 }
 
-// returns links the agent's result or refusal to TaskReturned at the entry. An owner that took
-// the job over gets the results of earlier epochs.
+// returns links the agent's result or refusal to TaskReturned at the entry. Results and the
+// refusals of each cause are counted apart, because an agent refuses a task that it never held
+// without a record. An owner that took the job over gets the results of earlier epochs.
 func (c *causes) returns(key specifier.TaskKey) {
-	replied := c.of(key, recorder.TaskEnded, recorder.TaskRefused)
+	ended, refused := c.of(key, recorder.TaskEnded), c.of(key, recorder.TaskRefused)
 	for _, run := range c.byRun(c.of(key, recorder.TaskReturned)) {
-		entry := c.events[run[0]]
-		for _, replies := range c.byRun(replied) {
-			agent := c.events[replies[0]]
-			got := c.where(run, func(e recorder.Event) bool { return recorder.Names(e.Other, agent.Process) })
-			if agent.Epoch == entry.Epoch {
-				c.pair(replies, got)
-			}
+		results := c.where(run, func(e recorder.Event) bool { return !recorder.IsRefusal(e) })
+		c.replies(ended, results)
+		c.refusals(refused, c.where(run, recorder.IsRefusal))
+		c.reported(ended, results)
+	}
+}
+
+// refusals pairs the refusals of each cause.
+func (c *causes) refusals(refused, returned []int) {
+	seen := make(map[string]bool)
+	for _, i := range refused {
+		cause := c.events[i].Detail
+		if seen[cause] {
+			continue
 		}
-		c.reported(run, replied)
+		seen[cause] = true
+		c.replies(
+			c.where(refused, func(e recorder.Event) bool { return e.Detail == cause }),
+			c.where(returned, func(e recorder.Event) bool { return e.Detail == recorder.RefusedDetail(cause) }))
+	}
+}
+
+// replies pairs what each agent recorded under the entry's epoch with what the entry got from it.
+func (c *causes) replies(replied, returned []int) {
+	for _, replies := range c.byRun(replied) {
+		agent := c.events[replies[0]]
+		c.pair(replies, c.where(returned, func(e recorder.Event) bool {
+			return e.Epoch == agent.Epoch && recorder.Names(e.Other, agent.Process)
+		}))
 	}
 }
 
 // reported links the only end of a task under an earlier epoch to the first result that the
 // new owner got.
-func (c *causes) reported(run, replied []int) {
-	entry := c.events[run[0]]
-	ended := c.where(replied, func(e recorder.Event) bool {
-		return e.Kind == recorder.TaskEnded && recorder.Names(entry.Other, e.Process)
-	})
-	if len(ended) == 1 && c.events[ended[0]].Epoch < entry.Epoch {
-		c.add(ended[0], run[0])
+func (c *causes) reported(ended, results []int) {
+	if len(results) == 0 {
+		return
+	}
+	entry := c.events[results[0]]
+	atPeer := c.where(ended, func(e recorder.Event) bool { return recorder.Names(entry.Other, e.Process) })
+	if len(atPeer) == 1 && c.events[atPeer[0]].Epoch < entry.Epoch {
+		c.add(atPeer[0], results[0])
 	}
 }
 
