--- a/core/operator/call.go
+++ b/core/operator/call.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
 
@@ -19,7 +18,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Attempt)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), grpc.WithNoProxy(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(c.Credentials),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply)))
 	if err != nil {
 		var none T
@@ -43,6 +42,8 @@
 	switch status.Code(err) {
 	case codes.NotFound:
 		return ErrNotHeld
+	case codes.Unimplemented:
+		return errors.Newf("the process has no Operator service, so it is not a controller: %s", plain(err))
 	case codes.InvalidArgument:
 		return errors.Newf("the controller refuses the request: %s", plain(err))
 	}
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"oleandertally/core/encoder"
 	"oleandertally/core/recorder"
@@ -17,6 +18,7 @@
 // Client calls the controllers until the leader answers. Fields are set before use.
 type Client struct {
 	Controllers []netip.AddrPort
+	Credentials credentials.TransportCredentials
 	Attempt     time.Duration                                    // limit of one call
 	Rounds      int                                              // times that every controller is tried
 	Between     time.Duration                                    // from one round to the next: an election can be under way
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"oleandertally/core/encoder"
 	"oleandertally/core/recorder"
@@ -53,6 +54,11 @@
 	server := grpc.NewServer()
 	encoder.RegisterOperatorServer(server, &Server{Propose: f.propose, State: f.read})
 	encoder.RegisterTimelineServer(server, &Timeline{Buffer: f.buffer})
+	return run(t, server, listener)
+}
+
+func run(t *testing.T, server *grpc.Server, listener net.Listener) netip.AddrPort {
+	t.Helper()
 	var group errgroup.Group
 	group.Go(func() error {
 		// A test that ends before Serve runs has stopped the server already.
@@ -78,7 +84,7 @@
 }
 
 func newClient(controllers ...netip.AddrPort) *Client {
-	return &Client{Controllers: controllers, Attempt: time.Minute, Rounds: 3, Clock: func() time.Time { return nine },
+	return &Client{Controllers: controllers, Credentials: insecure.NewCredentials(), Attempt: time.Minute, Rounds: 3, Clock: func() time.Time { return nine },
 		Pause: func(ctx context.Context, _ time.Duration) error { return ctx.Err() }}
 }
 
@@ -142,6 +148,13 @@
 		must.ErrorContains(t, err, "expected ChangeConfiguration or DrainMember")
 		must.SliceEmpty(t, f.commands)
 	})
+	t.Run("a process that is no controller", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		addr := run(t, grpc.NewServer(), listener)
+		_, err = newClient(addr).Read(t.Context(), 0)
+		must.ErrorContains(t, err, "not a controller")
+	})
 	t.Run("two request ids", func(t *testing.T) {
 		f := &fake{}
 		_, err := newClient(serve(t, f)).Change(t.Context(), "r1", "ana", specifier.ChangeConfiguration{RequestID: "r2", Operator: "ana"})
--- a/tally/connection.go
+++ b/tally/connection.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/grpc/credentials/insecure"
+
 	"oleandertally/core/operator"
 	"oleandertally/core/specifier"
 )
@@ -52,7 +54,7 @@
 	if c.attempt <= 0 {
 		return nil, fail(exitUsage, "", "-attempt is %v, expected more than 0", c.attempt)
 	}
-	return &operator.Client{Controllers: addrs, Attempt: c.attempt, Rounds: rounds, Between: between,
+	return &operator.Client{Controllers: addrs, Credentials: insecure.NewCredentials(), Attempt: c.attempt, Rounds: rounds, Between: between,
 		Pause: c.env.pause, Clock: c.env.clock}, nil
 }
 
