Tell a passed-on refusal from a false one

An attached caller gets its owner's refusal a moment later. When the key was submitted again in between, the verifier took the passed-on answer for a false one, because it has no epoch of its own. It now belongs to the epoch that the owner released, if the owner gave the same answer. Failed Overloaded says that an entry is too busy to look the key up, so it contradicts nothing.

--- a/core/verifier/contradiction.go
+++ b/core/verifier/contradiction.go
@@ -43,7 +43,8 @@
 		return false
 	}
 	switch a.Reason {
-	case specifier.Superseded, specifier.ResultsLost, specifier.KeyExpired, specifier.Unavailable, specifier.Stopping:
+	case specifier.Superseded, specifier.ResultsLost, specifier.KeyExpired, specifier.Unavailable, specifier.Stopping,
+		specifier.Overloaded:
 		return true
 	}
 	return false
--- a/core/verifier/notrun.go
+++ b/core/verifier/notrun.go
@@ -31,6 +31,11 @@
 	if answer.Epoch > 0 {
 		return start.Epoch > answer.Epoch
 	}
+	for _, own := range h.relayed(answer) {
+		if start.Epoch > own.Epoch {
+			return true
+		}
+	}
 	for _, owned := range h.events {
 		if owned.Kind != recorder.JobAccepted && owned.Kind != recorder.JobTaken || owned.Epoch != start.Epoch {
 			continue
@@ -42,6 +47,23 @@
 	return false
 }
 
+// relayed returns the owner's own refusals when answer passes one of them on to an attached
+// caller: such an answer belongs to the epoch that the owner released.
+func (h *history) relayed(answer recorder.Event) []recorder.Event {
+	var own []recorder.Event
+	for _, attached := range h.of(recorder.JobAttached) {
+		if attached.Process != answer.Process || attached.Sequence > answer.Sequence || attached.Other == "" {
+			continue
+		}
+		for _, event := range h.answers(specifier.NotRun) {
+			if event.Epoch > 0 && event.Detail == answer.Detail && recorder.Names(attached.Other, event.Process) {
+				own = append(own, event)
+			}
+		}
+	}
+	return own
+}
+
 // submittedBetween reports whether a submission arrived at the entry of owned after answer and
 // before owned.
 func (h *history) submittedBetween(answer, owned recorder.Event) bool {
