Keep queues at agents for tasks whose key is nearly due

Cause: tasks of wide jobs filled the look-ahead of every agent, and the tasks of other entries faded so fast that entries filled agents that had no free slot. Short jobs then waited for one slot at one agent. Change: only tasks whose key is due within a second wait at agents, at the shortest queue; the others leave 7% of the slots free. Queued and running tasks of other entries fade at the rates at which tasks start and end.

--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -31,6 +31,8 @@
 }
 
 const (
+	// urgentWithin is how far ahead a key may lie to count as nearly due. A job of 10 tasks is so on arrival.
+	urgentWithin = time.Second
 	// lendAfter is how long no short work must have arrived before long work may take more than its share.
 	lendAfter = time.Second
 )
@@ -103,7 +105,9 @@
 
 // send places the first task of a lane.
 func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
-	agent := T(&e.placement).pick(pool, next.lane, e.rule(now), e.random)
+	rule := e.rule(now)
+	rule.patient = next.item.Order.At.Sub(now) > urgentWithin
+	agent := T(&e.placement).pick(pool, next.lane, rule, e.random)
 	if agent == nil {
 		return false
 	}
--- a/dispatch/scheduler/latebinding.go
+++ b/dispatch/scheduler/latebinding.go
@@ -7,22 +7,25 @@
 	"oleandertally/dispatch/orderer"
 )
 
-// LateBinding keeps tasks at the entry until an agent has a free slot, or room in its small look-ahead.
-// Among agents with free slots it draws one at random, weighted by the free slots: entries whose views are
-// equal then spread over all free slots instead of choosing the same agent.
+// LateBinding keeps tasks at the entry until an agent has a free slot. Among agents with free slots it
+// draws one at random, weighted by the free slots: entries whose views are equal then spread over all free
+// slots instead of choosing the same agent. Only tasks whose key is nearly due may wait at an agent, at the
+// one with the shortest queue; the others also leave a few free slots for those.
 type LateBinding struct{}
 
 const (
-	// lookAhead is how many tasks an agent holds beyond its slots, so that a slot that becomes
-	// free does not wait for a round trip to the entry.
-	lookAhead = 1
+	// lookAhead is how many tasks whose key is nearly due an agent holds beyond its slots. A slot that
+	// becomes free then does not wait for a message to an entry, which may hear of it late.
+	lookAhead = 3
+	// reserveShare is the share of all slots that tasks whose key is not nearly due leave free.
+	reserveShare = 0.07
 	// localBonus makes a free slot in the entry's own zone count as this many elsewhere: it saves 3 ms
 	// of messages, which is little against a task of 50 ms to 1 s.
 	localBonus = 2
-	// forgetOthers is how long ago a report must be for half of the tasks of other entries in it to be
-	// taken as ended. Without it an entry that sends an agent nothing hears nothing, and believes it full
-	// for ever.
-	forgetOthers = 150 * time.Millisecond
+	// startEvery and endAfter are how fast the tasks of other entries in a report are taken as started and
+	// ended. Without them an entry that sends an agent nothing hears nothing, and believes it full for ever.
+	startEvery = 75 * time.Millisecond  // 8 slots, 0.6 s for each task
+	endAfter   = 600 * time.Millisecond // for half of those that ran
 	// paceInterval and paceTasks bound how many tasks an agent is sent before it can have answered the
 	// first of them, so that a worker that fails everything at once loses few.
 	paceInterval = 5 * time.Millisecond
@@ -43,11 +46,9 @@
 
 // othersAt returns how many tasks of other entries the agent is believed to hold now.
 func (a *agent) othersAt(now time.Time) int {
-	halvings := int(now.Sub(a.reportedAt) / forgetOthers)
-	if halvings > 8 {
-		return 0
-	}
-	return a.others >> max(halvings, 0)
+	age := now.Sub(a.reportedAt)
+	queued := min(a.load.Queued, a.others)
+	return max(queued-int(age/startEvery), 0) + (a.others-queued)>>min(age/endAfter, 8)
 }
 
 // longLimit returns how many tasks of the limited lane this entry may hold at a worker of slots slots.
@@ -60,10 +61,35 @@
 }
 
 func (*LateBinding) pick(pool *pool, kind lane, rule rule, random *rand.Rand) *agent {
-	if chosen := pickWeighted(pool, kind, rule, random, lookAhead+1, maxLevel); chosen != nil {
+	if rule.patient && pool.freeSlots() <= int(reserveShare*float64(pool.slots())) {
+		return nil
+	}
+	if chosen := pickWeighted(pool, kind, rule, random, lookAhead+1, maxLevel); chosen != nil || rule.patient {
 		return chosen
 	}
-	return pickWeighted(pool, kind, rule, random, 1, lookAhead)
+	for level := lookAhead; level > 0; level-- {
+		if chosen := pickWeighted(pool, kind, rule, random, level, level); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// freeSlots returns how many slots are believed to be free.
+func (p *pool) freeSlots() int {
+	total := 0
+	for _, zone := range p.zones {
+		total += zone.sum(free, lookAhead+1, maxLevel)
+	}
+	return total
+}
+
+func (p *pool) slots() int {
+	total := 0
+	for _, zone := range p.zones {
+		total += zone.slots
+	}
+	return total
 }
 
 // pickWeighted draws an agent with a level from low to high, weighted by the level above low and the zone.
@@ -99,11 +125,16 @@
 	if kind == limited && z.long >= longLimit(z.slots, rule) {
 		return 0
 	}
+	return z.sum(kind, low, high) * z.bonus(rule)
+}
+
+// sum adds up the room above low of the agents with levels from low to high.
+func (z *zone) sum(kind lane, low, high int) int {
 	total := 0
 	for level := low; level <= min(high, z.index[kind].top()); level++ {
 		total += (level - low + 1) * len(z.index[kind].levels[level])
 	}
-	return total * z.bonus(rule)
+	return total
 }
 
 // draw returns the agent at a position in the order of weights.
--- a/dispatch/scheduler/placement.go
+++ b/dispatch/scheduler/placement.go
@@ -19,5 +19,6 @@
 	local     string  // the zone of this entry
 	entries   int     // entries that share the agents
 	longShare float64 // share of slots that long work may hold
+	patient   bool    // the task's key is not nearly due
 	lend      bool    // no short work waits or arrived lately, so that long work may take more
 }
