Admit by predicted finish and bound how long wide jobs are passed over

Cause: past capacity most work was spent on jobs that missed their deadline. Change: admitter with the policies Always, ByQueue and ByFinish; a job is admitted when waiting work and its own fit in 0.3 of its time left on the slots that the entry can count on; its key is at most 0.4 of its time left away; work that cannot end in time is not started; no slot is left free for short jobs while much work waits.

--- /dev/null
+++ b/dispatch/admitter/byfinish.go
@@ -0,0 +1,38 @@
+package admitter
+
+import "time"
+
+// ByFinish admits a job when its predicted finish leaves a part of the time to its deadline unused, for
+// the error of the prediction and for jobs that overtake it.
+type ByFinish struct {
+	Share float64 // of the time left that the prediction may use; default 0.3
+}
+
+const (
+	// defaultShare keeps queues short enough that wide jobs, which narrow ones overtake, still finish.
+	defaultShare = 0.3
+	// minRetry keeps refused callers from coming back faster than the queue can change.
+	minRetry = 200 * time.Millisecond
+)
+
+// Admit compares the predicted finish with the time left.
+func (b ByFinish) Admit(demand Demand) (bool, time.Duration) {
+	share := b.Share
+	if share <= 0 {
+		share = defaultShare
+	}
+	usable := time.Duration(share * float64(demand.TimeLeft))
+	finish := demand.Finish()
+	if finish <= usable {
+		return true, 0
+	}
+	alone := demand
+	alone.Waiting = 0
+	switch {
+	case alone.Finish() > demand.TimeLeft:
+		return false, 0 // an empty queue would not help
+	case alone.Finish() > usable && finish <= demand.TimeLeft && demand.Waiting < demand.Work:
+		return true, 0 // no queue is short enough to use less than the share
+	}
+	return false, max(finish-usable, minRetry)
+}
--- a/dispatch/scheduler/admission.go
+++ b/dispatch/scheduler/admission.go
@@ -4,18 +4,55 @@
 	"time"
 
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/admitter"
 )
 
 // Admit decides whether a job can finish by its deadline; nil admits it.
 func (e *Engine[P, T]) Admit(now time.Time, job specifier.Job, profile specifier.Profile) *Refusal {
 	e.init()
 	e.profiles[profile.Name] = profile
-	if pool := e.pools[profile.Service]; pool != nil {
-		for _, agent := range pool.agents {
-			if agent.member.Slots > 0 {
-				return nil
-			}
-		}
+	pool := e.pools[profile.Service]
+	slots := 0
+	if pool != nil {
+		slots = pool.upSlots()
 	}
-	return &Refusal{Reason: specifier.NoWorker, Detail: "no worker serves " + profile.Service, RetryAfter: time.Second}
+	if slots == 0 {
+		return &Refusal{Reason: specifier.NoWorker, Detail: "no worker serves " + profile.Service, RetryAfter: time.Second}
+	}
+	mean := e.classifier.Mean(profile.Name, profile.TypicalTime)
+	demand := admitter.Demand{Waiting: pool.work, Queued: pool.queued[free] + pool.queued[limited], Tasks: len(job.Tasks),
+		Slots: e.share(pool, slots), Work: time.Duration(len(job.Tasks)) * mean, Longest: mean, TimeLeft: job.Deadline.Sub(now)}
+	if bound := profile.QueueBound; bound > 0 && demand.Queued+demand.Tasks > bound {
+		return &Refusal{Reason: specifier.Overloaded, Detail: "the queue of this entry is full", RetryAfter: time.Second}
+	}
+	if ok, retryAfter := e.Admission.Admit(demand); !ok {
+		return &Refusal{Reason: specifier.Overloaded, Detail: "could not finish before the deadline", RetryAfter: retryAfter}
+	}
+	return nil
+}
+
+// share returns the slots that this entry can count on: those that it uses and those believed to be free,
+// at least an equal part. Tasks that wait at an agent use none, so an agent's slots are divided in the
+// proportion of the tasks held there.
+func (e *Engine[P, T]) share(pool *pool, slots int) float64 {
+	own := 0.0
+	for _, agent := range pool.agents {
+		own += agent.part()
+	}
+	return max(own+float64(pool.freeSlots()), float64(slots)/float64(max(e.entries, 1)))
+}
+
+// part returns how many of the agent's slots this entry's tasks are believed to use.
+func (a *agent) part() float64 {
+	held, slots := float64(len(a.held)), float64(a.slots())
+	return min(held, slots*held/max(held+float64(a.others), 1))
+}
+
+// upSlots returns the slots of agents that take new work.
+func (p *pool) upSlots() int {
+	total := 0
+	for _, agent := range p.agents {
+		total += agent.slots()
+	}
+	return total
 }
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/classifier"
 )
 
@@ -15,6 +16,8 @@
 type Engine[P any, T Placement[P]] struct {
 	Zone string // of this entry
 	Seed uint64 // of the random choices; entries must have different seeds
+	// Admission decides on new jobs; default admitter.ByFinish.
+	Admission admitter.Policy
 
 	placement  P
 	random     *rand.Rand
@@ -45,6 +48,9 @@
 	e.pools = make(map[string]*pool)
 	e.jobs = make(map[specifier.JobID]*job)
 	e.profiles = make(map[string]specifier.Profile)
+	if e.Admission == nil {
+		e.Admission = admitter.ByFinish{}
+	}
 	e.random = rand.New(rand.NewPCG(e.Seed, 0))
 }
 
@@ -60,15 +66,17 @@
 func (e *Engine[P, T]) Enqueue(now time.Time, items []Item) {
 	e.init()
 	for _, item := range items {
-		kind := laneOf(e.classifier.Class(item.Profile, e.profiles[item.Profile].TypicalTime))
+		item.Order = item.Order.Guard(now, item.Deadline)
+		typical := e.profiles[item.Profile].TypicalTime
+		kind := laneOf(e.classifier.Class(item.Profile, typical))
 		if kind == free {
 			e.lastShort = now
 		}
 		pool := e.pool(item.Service)
 		job := e.job(item.Key.Job, pool)
-		job.waiting[kind]++
-		pool.queued[kind]++
-		pool.waiting[kind].Push(waiting{item: item, job: job, lane: kind})
+		next := waiting{item: item, job: job, lane: kind, expected: e.classifier.Mean(item.Profile, typical)}
+		pool.count(next, 1)
+		pool.waiting[kind].Push(next)
 	}
 }
 
@@ -107,16 +115,20 @@
 func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
 	rule := e.rule(now)
 	rule.patient = next.item.Order.At.Sub(now) > urgentWithin
+	if next.late(now) {
+		e.abandon(next.job)
+		return true
+	}
 	agent := T(&e.placement).pick(pool, next.lane, rule, e.random)
 	if agent == nil {
 		return false
 	}
 	pool.waiting[next.lane].Pop()
-	pool.queued[next.lane]--
-	next.job.waiting[next.lane]--
+	pool.count(next, -1)
 	next.job.held++
 	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
 	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now}
+	pool.held++
 	if next.lane == limited {
 		agent.long++
 		agent.zone.long++
@@ -169,6 +181,7 @@
 		return task, false
 	}
 	delete(agent.held, key)
+	agent.pool.held--
 	if task.lane == limited {
 		agent.long--
 		agent.zone.long--
@@ -197,16 +210,23 @@
 	if job == nil {
 		return
 	}
+	e.abandon(job)
+	for _, each := range job.sent {
+		e.release(each.agent, each.key)
+	}
+	delete(e.jobs, id)
+}
+
+// abandon drops the waiting tasks of a job. Tasks that agents hold still count.
+func (e *Engine[P, T]) abandon(job *job) {
 	job.forgotten = true
+	job.pool.work -= job.work
+	job.work = 0
 	for kind := range lanes {
 		job.pool.queued[kind] -= job.waiting[kind]
 		job.waiting[kind] = 0
 		job.pool.compact(kind)
 	}
-	for _, each := range job.sent {
-		e.release(each.agent, each.key)
-	}
-	delete(e.jobs, id)
 }
 
 // Next returns when Dispatch should run again though no event came, or the zero time.
@@ -279,7 +299,7 @@
 
 // drop removes a job that has nothing left.
 func (e *Engine[P, T]) drop(id specifier.JobID, job *job) {
-	if job.held == 0 && job.waiting == [lanes]int{} {
+	if job.held == 0 && !job.forgotten && job.waiting == [lanes]int{} {
 		delete(e.jobs, id)
 	}
 }
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -1,13 +1,18 @@
 package scheduler
 
-import "oleandertally/core/specifier"
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
 
 // job is what the scheduler knows of one job with tasks that wait or are held by agents.
 type job struct {
-	forgotten bool
+	forgotten bool // its waiting tasks are not started any more
 	waiting   [lanes]int
 	pool      *pool
-	sent      []sent // including tasks that have ended
+	work      time.Duration // expected run time of the waiting tasks
+	sent      []sent        // including tasks that have ended
 	held      int
 }
 
--- a/dispatch/scheduler/latebinding.go
+++ b/dispatch/scheduler/latebinding.go
@@ -19,6 +19,9 @@
 	lookAhead = 3
 	// reserveShare is the share of all slots that tasks whose key is not nearly due leave free.
 	reserveShare = 0.07
+	// fullAfter is the waiting work for each slot of this entry's part from which on no slot is left free.
+	// A single wide job of average tasks is below it, sustained overload above.
+	fullAfter = 3 * time.Second
 	// localBonus makes a free slot in the entry's own zone count as this many elsewhere: it saves 3 ms
 	// of messages, which is little against a task of 50 ms to 1 s.
 	localBonus = 2
@@ -61,7 +64,7 @@
 }
 
 func (*LateBinding) pick(pool *pool, kind lane, rule rule, random *rand.Rand) *agent {
-	if rule.patient && pool.freeSlots() <= int(reserveShare*float64(pool.slots())) {
+	if rule.patient && pool.freeSlots() <= pool.reserve(rule) {
 		return nil
 	}
 	if chosen := pickWeighted(pool, kind, rule, random, lookAhead+1, maxLevel); chosen != nil || rule.patient {
@@ -75,6 +78,16 @@
 	return nil
 }
 
+// reserve returns how many slots tasks whose key is not nearly due leave free: none when so much work waits
+// that every slot is needed.
+func (p *pool) reserve(rule rule) int {
+	slots := p.slots()
+	if p.work > time.Duration(slots/rule.entries)*fullAfter {
+		return 0
+	}
+	return int(reserveShare * float64(slots))
+}
+
 // freeSlots returns how many slots are believed to be free.
 func (p *pool) freeSlots() int {
 	total := 0
--- a/dispatch/scheduler/pool.go
+++ b/dispatch/scheduler/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"oleandertally/core/collector"
 )
@@ -12,14 +13,23 @@
 	zones   []*zone  // by name
 	agents  []*agent // by identity
 	waiting [lanes]collector.Heap[waiting]
-	queued  [lanes]int // without those of forgotten jobs
+	queued  [lanes]int    // without those of forgotten jobs
+	work    time.Duration // expected run time of the queued tasks
+	held    int           // tasks that agents hold for this entry
 }
 
 // waiting is an item in a heap. Forgetting a job only marks it; its items are skipped when they come up.
 type waiting struct {
-	item Item
-	job  *job
-	lane lane
+	item     Item
+	job      *job
+	lane     lane
+	expected time.Duration // run time
+}
+
+// late reports whether the task can hardly end before its deadline: half of the tasks of most profiles run
+// for less than their mean, so half of the mean must fit.
+func (w waiting) late(now time.Time) bool {
+	return !w.item.Deadline.IsZero() && w.item.Deadline.Sub(now) < w.expected/2
 }
 
 func newPool() *pool {
@@ -30,6 +40,14 @@
 	return p
 }
 
+// count adds or removes a waiting task in the totals.
+func (p *pool) count(task waiting, change int) {
+	p.queued[task.lane] += change
+	p.work += time.Duration(change) * task.expected
+	task.job.waiting[task.lane] += change
+	task.job.work += time.Duration(change) * task.expected
+}
+
 // zone returns the zone of a name, which it adds when it is new.
 func (p *pool) zone(name string) *zone {
 	for _, each := range p.zones {
--- a/replay/variants.go
+++ b/replay/variants.go
@@ -2,6 +2,7 @@
 
 import (
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/orderer"
 	"oleandertally/dispatch/scheduler"
 	"oleandertally/replay/player"
@@ -17,10 +18,19 @@
 		{Name: "two choices", Order: byWidth, NewScheduler: engine[scheduler.TwoChoices]},
 		{Name: "late binding, by arrival", Order: orderer.ByArrival{}, NewScheduler: engine[scheduler.LateBinding]},
 		{Name: "late binding", Order: byWidth, NewScheduler: engine[scheduler.LateBinding]},
+		{Name: "bounded queue", Order: byWidth, NewScheduler: admitting(admitter.ByQueue{Bound: 1000})},
+		{Name: "chosen", Order: byWidth, NewScheduler: admitting(admitter.ByFinish{})},
 	}
 }
 
 // engine returns a scheduler with a placement.
 func engine[P any, T scheduler.Placement[P]](seed uint64, self specifier.Member, _ map[string]specifier.Team) player.Scheduler {
-	return &scheduler.Engine[P, T]{Zone: self.Zone, Seed: seed}
+	return &scheduler.Engine[P, T]{Zone: self.Zone, Seed: seed, Admission: admitter.Always{}}
+}
+
+// admitting returns a scheduler with late binding and an admission policy.
+func admitting(policy admitter.Policy) func(uint64, specifier.Member, map[string]specifier.Team) player.Scheduler {
+	return func(seed uint64, self specifier.Member, _ map[string]specifier.Team) player.Scheduler {
+		return &scheduler.Scheduler{Zone: self.Zone, Seed: seed, Admission: policy}
+	}
 }
