Limit long work by the headroom that short work needs

Cause: long work filled its half of the slots, and at half load of short work the other half was full; short jobs were also refused for waiting long work that is not ahead of them.

--- a/dispatch/orderer/queue.go
+++ b/dispatch/orderer/queue.go
@@ -30,8 +30,8 @@
 // Entries keep most waiting work, so an empty queue here does not show that none waits.
 const lendAfter = time.Second
 
-// defaultLongShare is the value of a profile that sets none.
-const defaultLongShare = 0.5
+// DefaultLongShare is the value of a profile that sets none.
+const DefaultLongShare = 0.5
 
 // SetSlots changes the number of slots. Running tasks keep theirs.
 func (q *Queue) SetSlots(slots int) { q.Slots = slots }
@@ -86,7 +86,7 @@
 // LongLimit returns how many of slots long work may hold: at least one, and never all of several.
 func LongLimit(slots int, share float64) int {
 	if share <= 0 {
-		share = defaultLongShare
+		share = DefaultLongShare
 	}
 	return max(min(int(share*float64(slots)), slots-1), 1)
 }
--- a/dispatch/scheduler/admission.go
+++ b/dispatch/scheduler/admission.go
@@ -5,6 +5,7 @@
 
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/admitter"
+	"oleandertally/dispatch/orderer"
 )
 
 // Admit decides whether a job can finish by its deadline; nil admits it.
@@ -19,9 +20,8 @@
 	if slots == 0 {
 		return &Refusal{Reason: specifier.NoWorker, Detail: "no worker serves " + profile.Service, RetryAfter: time.Second}
 	}
-	mean := e.classifier.Mean(profile.Name, profile.TypicalTime)
-	demand := admitter.Demand{Waiting: pool.work, Queued: pool.queued[free] + pool.queued[limited], Tasks: len(job.Tasks),
-		Slots: e.share(pool, slots), Work: time.Duration(len(job.Tasks)) * mean, Longest: mean, TimeLeft: job.Deadline.Sub(now)}
+	demand := e.demand(pool, job, profile, slots)
+	demand.TimeLeft = job.Deadline.Sub(now)
 	if bound := profile.QueueBound; bound > 0 && demand.Queued+demand.Tasks > bound {
 		return &Refusal{Reason: specifier.Overloaded, Detail: "the queue of this entry is full", RetryAfter: time.Second}
 	}
@@ -31,6 +31,20 @@
 	return nil
 }
 
+// demand sets the job against the work of its own lane: short work does not wait for long work.
+func (e *Engine[P, T]) demand(pool *pool, job specifier.Job, profile specifier.Profile, slots int) admitter.Demand {
+	mean := e.classifier.Mean(profile.Name, profile.TypicalTime)
+	kind := laneOf(e.classifier.Class(profile.Name, profile.TypicalTime))
+	available := e.share(pool, slots)
+	if kind == limited {
+		available = min(pool.short.limit(available, orderer.DefaultLongShare), available)
+	} else {
+		available = max(available-float64(pool.long), 1)
+	}
+	return admitter.Demand{Waiting: pool.work[kind], Queued: pool.queued[free] + pool.queued[limited], Tasks: len(job.Tasks),
+		Slots: available, Work: time.Duration(len(job.Tasks)) * mean, Longest: mean}
+}
+
 // share returns the slots that this entry can count on: those that it uses and those believed to be free,
 // at least an equal part. Tasks that wait at an agent use none, so an agent's slots are divided in the
 // proportion of the tasks held there.
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -8,6 +8,7 @@
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/classifier"
+	"oleandertally/dispatch/orderer"
 )
 
 // Engine holds the tasks of one entry until an agent has room, in the order of their keys. The placement
@@ -114,7 +115,7 @@
 // send places the first task of a lane.
 func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
 	rule := e.rule(now)
-	rule.patient = next.item.Order.At.Sub(now) > urgentWithin
+	rule.patient = next.lane == limited || next.item.Order.At.Sub(now) > urgentWithin
 	if next.late(now) {
 		e.abandon(next.job)
 		return true
@@ -129,8 +130,10 @@
 	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
 	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now}
 	pool.held++
+	pool.short.observe(now, pool.held-pool.long)
 	if next.lane == limited {
 		agent.long++
+		pool.long++
 		agent.zone.long++
 	}
 	agent.pace(now)
@@ -159,6 +162,7 @@
 	if ok {
 		e.classifier.Record(task.item.Profile, runTime)
 	}
+	agent.pool.short.observe(now, agent.pool.held-agent.pool.long)
 	e.update(now, agent)
 }
 
@@ -184,6 +188,7 @@
 	agent.pool.held--
 	if task.lane == limited {
 		agent.long--
+		agent.pool.long--
 		agent.zone.long--
 	}
 	if job := e.jobs[key.Job]; job != nil {
@@ -220,9 +225,9 @@
 // abandon drops the waiting tasks of a job. Tasks that agents hold still count.
 func (e *Engine[P, T]) abandon(job *job) {
 	job.forgotten = true
-	job.pool.work -= job.work
-	job.work = 0
 	for kind := range lanes {
+		job.pool.work[kind] -= job.work[kind]
+		job.work[kind] = 0
 		job.pool.queued[kind] -= job.waiting[kind]
 		job.waiting[kind] = 0
 		job.pool.compact(kind)
@@ -259,7 +264,7 @@
 }
 
 func (e *Engine[P, T]) rule(now time.Time) rule {
-	return rule{local: e.Zone, entries: max(e.entries, 1), lend: now.Sub(e.lastShort) >= lendAfter}
+	return rule{local: e.Zone, entries: max(e.entries, 1), longShare: orderer.DefaultLongShare, lend: now.Sub(e.lastShort) >= lendAfter}
 }
 
 func (e *Engine[P, T]) queued() int {
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -11,8 +11,8 @@
 	forgotten bool // its waiting tasks are not started any more
 	waiting   [lanes]int
 	pool      *pool
-	work      time.Duration // expected run time of the waiting tasks
-	sent      []sent        // including tasks that have ended
+	work      [lanes]time.Duration // expected run time of the waiting tasks
+	sent      []sent               // including tasks that have ended
 	held      int
 }
 
--- a/dispatch/scheduler/latebinding.go
+++ b/dispatch/scheduler/latebinding.go
@@ -67,6 +67,9 @@
 	if rule.patient && pool.freeSlots() <= pool.reserve(rule) {
 		return nil
 	}
+	if kind == limited && pool.longFull(rule) {
+		return nil
+	}
 	if chosen := pickWeighted(pool, kind, rule, random, lookAhead+1, maxLevel); chosen != nil || rule.patient {
 		return chosen
 	}
@@ -78,11 +81,17 @@
 	return nil
 }
 
+// longFull reports whether long work of this entry holds as much as it may of the entry's part.
+func (p *pool) longFull(rule rule) bool {
+	part := float64(p.slots()) / float64(rule.entries)
+	return float64(p.long) >= p.short.limit(part, rule.longShare)
+}
+
 // reserve returns how many slots tasks whose key is not nearly due leave free: none when so much work waits
 // that every slot is needed.
 func (p *pool) reserve(rule rule) int {
 	slots := p.slots()
-	if p.work > time.Duration(slots/rule.entries)*fullAfter {
+	if p.work[free] > time.Duration(slots/rule.entries)*fullAfter {
 		return 0
 	}
 	return int(reserveShare * float64(slots))
--- a/dispatch/scheduler/pool.go
+++ b/dispatch/scheduler/pool.go
@@ -13,9 +13,11 @@
 	zones   []*zone  // by name
 	agents  []*agent // by identity
 	waiting [lanes]collector.Heap[waiting]
-	queued  [lanes]int    // without those of forgotten jobs
-	work    time.Duration // expected run time of the queued tasks
-	held    int           // tasks that agents hold for this entry
+	queued  [lanes]int           // without those of forgotten jobs
+	work    [lanes]time.Duration // expected run time of the queued tasks
+	held    int                  // tasks that agents hold for this entry
+	long    int                  // of them, those in the limited lane
+	short   headroom
 }
 
 // waiting is an item in a heap. Forgetting a job only marks it; its items are skipped when they come up.
@@ -43,9 +45,9 @@
 // count adds or removes a waiting task in the totals.
 func (p *pool) count(task waiting, change int) {
 	p.queued[task.lane] += change
-	p.work += time.Duration(change) * task.expected
+	p.work[task.lane] += time.Duration(change) * task.expected
 	task.job.waiting[task.lane] += change
-	task.job.work += time.Duration(change) * task.expected
+	task.job.work[task.lane] += time.Duration(change) * task.expected
 }
 
 // zone returns the zone of a name, which it adds when it is new.
--- a/replay/player/agent.go
+++ b/replay/player/agent.go
@@ -12,16 +12,17 @@
 
 // agent is a fake agent around the queue that real agents use.
 type agent struct {
-	player *Player
-	member specifier.Member
-	index  int // worker number in the trace
-	zone   int
-	queue  orderer.Queue
-	owners map[specifier.TaskKey]*entry
-	report orderer.Reporter[int] // by entry
-	pushed int
-	dead   bool
-	timer  time.Time
+	player  *Player
+	member  specifier.Member
+	index   int // worker number in the trace
+	zone    int
+	queue   orderer.Queue
+	owners  map[specifier.TaskKey]*entry
+	report  orderer.Reporter[int] // by entry
+	learned classifier.Classifier
+	pushed  int
+	dead    bool
+	timer   time.Time
 }
 
 // assign takes a task from an entry.
@@ -35,7 +36,7 @@
 		order.At = epoch.Add(time.Duration(a.pushed))
 	}
 	task := orderer.Entry{Key: order, Deadline: item.Deadline, Profile: item.Profile, Team: item.Team,
-		Class: a.player.class(item)}
+		Class: a.learned.Class(item.Profile, a.player.profile(item.Profile).TypicalTime)}
 	a.owners[item.Key] = from
 	a.queue.Push(a.player.time.now, task)
 	a.step()
@@ -94,6 +95,9 @@
 	key := task.TaskKey()
 	a.queue.Done(a.player.time.now, key)
 	a.player.ran(key, run)
+	if ok {
+		a.learned.Record(task.Profile, run)
+	}
 	owner := a.owners[key]
 	delete(a.owners, key)
 	a.startWaiting()
@@ -144,8 +148,3 @@
 	}
 	return run, true
 }
-
-// class returns what agents have learned of a profile.
-func (p *Player) class(item scheduler.Item) classifier.Class {
-	return classifier.Of(time.Duration(p.trace.Typical[item.Profile]) * time.Millisecond)
-}
