Eject workers that fail everything and take weight from stragglers

Cause: a worker that fails every task at once looks idle, and took up to 435 tasks of one entry in a minute.

--- /dev/null
+++ b/dispatch/ejector/consecutive.go
@@ -0,0 +1,22 @@
+package ejector
+
+// Consecutive trips when the weights of failures without a success between them reach the threshold.
+type Consecutive struct {
+	weight int
+}
+
+// Record implements Breaker.
+func (c *Consecutive) Record(weight, threshold int) bool {
+	if weight == 0 {
+		c.weight = 0
+		return false
+	}
+	c.weight += weight
+	return c.weight >= threshold
+}
+
+// Suspect implements Breaker.
+func (c *Consecutive) Suspect() bool { return c.weight > 0 }
+
+// Reset implements Breaker.
+func (c *Consecutive) Reset() { c.weight = 0 }
--- a/dispatch/scheduler/agent.go
+++ b/dispatch/scheduler/agent.go
@@ -14,6 +14,7 @@
 	pool   *pool
 	at     [lanes]place
 
+	health     health
 	load       specifier.Load // as last reported
 	reportedAt time.Time
 	others     int // tasks of other entries, as of the last report
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -8,6 +8,7 @@
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/classifier"
+	"oleandertally/dispatch/ejector"
 	"oleandertally/dispatch/orderer"
 )
 
@@ -29,6 +30,8 @@
 	profiles   map[string]specifier.Profile
 	classifier classifier.Classifier
 	entries    int
+	ejector    ejector.Ejector[breaker, *breaker]
+	ejected    []specifier.Identity
 	lastShort  time.Time
 	refreshed  time.Time
 	sending    []Assignment // the buffer that Dispatch returns
@@ -137,6 +140,7 @@
 		agent.zone.long++
 	}
 	agent.pace(now)
+	e.ejector.Sent(&agent.health)
 	e.update(now, agent)
 	e.sending = append(e.sending, Assignment{Agent: agent.member.Identity, Item: next.item})
 	return true
@@ -159,6 +163,7 @@
 	if !found {
 		return
 	}
+	e.judge(now, agent, task, ok, runTime)
 	if ok {
 		e.classifier.Record(task.item.Profile, runTime)
 	}
--- a/dispatch/scheduler/latebinding.go
+++ b/dispatch/scheduler/latebinding.go
@@ -32,7 +32,7 @@
 	// paceInterval and paceTasks bound how many tasks an agent is sent before it can have answered the
 	// first of them, so that a worker that fails everything at once loses few.
 	paceInterval = 5 * time.Millisecond
-	paceTasks    = 3
+	paceTasks    = 2
 )
 
 func (*LateBinding) room(now time.Time, agent *agent, rule rule) [lanes]int {
@@ -43,7 +43,12 @@
 	if now.Sub(agent.paceAt) < paceInterval && agent.paced >= paceTasks {
 		return [lanes]int{}
 	}
-	room := max(slots+lookAhead-agent.othersAt(now)-len(agent.held), 0)
+	weight := agent.health.Weight()
+	room := max(int(weight*float64(slots)), 1) + lookAhead - agent.othersAt(now) - len(agent.held)
+	room = max(min(room, agent.healthLimit(now, slots+lookAhead)-len(agent.held)), 0)
+	if weight == 0 {
+		room = min(room, 1) // counts as a queue, not as a free slot
+	}
 	return [lanes]int{room, min(room, longLimit(slots, rule)-agent.long)}
 }
 
--- a/dispatch/scheduler/membership.go
+++ b/dispatch/scheduler/membership.go
@@ -60,6 +60,7 @@
 	}
 	gone.zone.slots -= gone.member.Slots
 	gone.pool.agents = slices.DeleteFunc(gone.pool.agents, func(a *agent) bool { return a == gone })
+	e.ejector.Remove(&gone.health)
 	delete(e.agents, gone.member.Identity)
 	lost := heldBy(gone)
 	for _, each := range lost {
--- a/replay/player/entry.go
+++ b/replay/player/entry.go
@@ -73,6 +73,9 @@
 func (e *entry) done(from *agent, key specifier.TaskKey, ok bool, run time.Duration) {
 	now := e.player.time.now
 	e.scheduler.Done(now, from.member.Identity, key, ok, run)
+	for _, id := range e.scheduler.Ejections() {
+		e.player.report.Ejected[id.Name]++
+	}
 	j := e.player.jobs[key.Job]
 	j.holders[from]--
 	if !ok && !j.trace.Poison {
--- a/replay/player/scheduler.go
+++ b/replay/player/scheduler.go
@@ -17,6 +17,7 @@
 	Done(now time.Time, id specifier.Identity, key specifier.TaskKey, ok bool, runTime time.Duration)
 	Refused(now time.Time, id specifier.Identity, key specifier.TaskKey)
 	Reported(now time.Time, id specifier.Identity, load specifier.Load)
+	Ejections() []specifier.Identity
 	Forget(job specifier.JobID)
 	Next() time.Time
 }
