Divide slots among teams by their shares

Cause: a team that asked for 1.2 times the capacity left another, within its share, half of what it asked for. Conclusion: the share is respected at each entry; entries still divide the capacity equally.

--- /dev/null
+++ b/dispatch/limiter/claim.go
@@ -0,0 +1,41 @@
+package limiter
+
+// Claim is what one team asks for and gets.
+type Claim struct {
+	Share float64 // weight
+	Need  float64 // slots that the team could use
+	Given float64 // slots, set by Fill
+}
+
+// Fill divides slots by weighted max-min fairness: each claim gets its need or its weighted part, whichever is
+// less, and what some do not need is divided among the others in the same way.
+func Fill(slots float64, claims []Claim) {
+	for i := range claims {
+		claims[i].Given = 0
+	}
+	// Each round satisfies at least one claim, or divides all that is left.
+	for range claims {
+		weight := 0.0
+		for _, each := range claims {
+			if each.Given < each.Need {
+				weight += each.Share
+			}
+		}
+		if weight <= 0 || slots <= 0 {
+			return
+		}
+		left := slots
+		for i := range claims {
+			each := &claims[i]
+			if each.Given < each.Need {
+				given := min(each.Need-each.Given, slots*each.Share/weight)
+				each.Given += given
+				left -= given
+			}
+		}
+		if left == slots {
+			return
+		}
+		slots = left
+	}
+}
--- /dev/null
+++ b/dispatch/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter divides slots among teams by their shares.
+package limiter
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -30,6 +30,7 @@
 	profiles   map[string]specifier.Profile
 	classifier classifier.Classifier
 	entries    int
+	teams      map[string]specifier.Team
 	ejector    ejector.Ejector[breaker, *breaker]
 	ejected    []specifier.Identity
 	lastShort  time.Time
@@ -69,8 +70,11 @@
 // Enqueue adds items that may start.
 func (e *Engine[P, T]) Enqueue(now time.Time, items []Item) {
 	e.init()
+	var delay time.Duration
+	if len(items) > 0 {
+		delay = e.teamDelay(items[0])
+	}
 	for _, item := range items {
-		item.Order = item.Order.Guard(now, item.Deadline)
 		typical := e.profiles[item.Profile].TypicalTime
 		kind := laneOf(e.classifier.Class(item.Profile, typical))
 		if kind == free {
@@ -78,6 +82,9 @@
 		}
 		pool := e.pool(item.Service)
 		job := e.job(item.Key.Job, pool)
+		job.team = item.Team
+		item.Order.At = item.Order.At.Add(delay)
+		item.Order = item.Order.Guard(now, item.Deadline)
 		next := waiting{item: item, job: job, lane: kind, expected: e.classifier.Mean(item.Profile, typical)}
 		pool.count(next, 1)
 		pool.waiting[kind].Push(next)
@@ -133,6 +140,7 @@
 	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
 	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now}
 	pool.held++
+	pool.limiter.Held(next.item.Team, 1)
 	pool.short.observe(now, pool.held-pool.long)
 	if next.lane == limited {
 		agent.long++
@@ -191,6 +199,7 @@
 	}
 	delete(agent.held, key)
 	agent.pool.held--
+	agent.pool.limiter.Held(task.item.Team, -1)
 	if task.lane == limited {
 		agent.long--
 		agent.pool.long--
@@ -231,6 +240,7 @@
 func (e *Engine[P, T]) abandon(job *job) {
 	job.forgotten = true
 	for kind := range lanes {
+		job.pool.limiter.Waits(job.team, -job.waiting[kind], -job.work[kind])
 		job.pool.work[kind] -= job.work[kind]
 		job.work[kind] = 0
 		job.pool.queued[kind] -= job.waiting[kind]
@@ -284,6 +294,7 @@
 	known := e.pools[service]
 	if known == nil {
 		known = newPool()
+		known.limiter.SetTeams(e.teams)
 		e.pools[service] = known
 		names := make([]string, 0, len(e.pools))
 		for name := range e.pools {
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -8,6 +8,7 @@
 
 // job is what the scheduler knows of one job with tasks that wait or are held by agents.
 type job struct {
+	team      string
 	forgotten bool // its waiting tasks are not started any more
 	waiting   [lanes]int
 	pool      *pool
--- a/dispatch/scheduler/pool.go
+++ b/dispatch/scheduler/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleandertally/core/collector"
+	"oleandertally/dispatch/limiter"
 )
 
 // pool is the agents of one service and the tasks that wait for them.
@@ -18,6 +19,7 @@
 	held    int                  // tasks that agents hold for this entry
 	long    int                  // of them, those in the limited lane
 	short   headroom
+	limiter limiter.Limiter
 }
 
 // waiting is an item in a heap. Forgetting a job only marks it; its items are skipped when they come up.
@@ -47,6 +49,7 @@
 	p.queued[task.lane] += change
 	p.work[task.lane] += time.Duration(change) * task.expected
 	task.job.waiting[task.lane] += change
+	p.limiter.Waits(task.item.Team, change, time.Duration(change)*task.expected)
 	task.job.work[task.lane] += time.Duration(change) * task.expected
 }
 
--- a/replay/reporter/summary.go
+++ b/replay/reporter/summary.go
@@ -1,8 +1,11 @@
 package reporter
 
 import (
+	"fmt"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"oleandertally/replay/player"
@@ -22,6 +25,7 @@
 	Right, Wrong       int     // ejections of sick and of healthy workers
 	Messages           float64 // for each task
 	Refused, Failed    int     // jobs; Failed includes those that timed out
+	Teams              string  // share of the slots that each team used
 }
 
 const (
@@ -64,9 +68,20 @@
 	if report.Tasks > 0 {
 		s.Messages = float64(report.Messages) / float64(report.Tasks)
 	}
+	s.Teams = teamShares(trace, report)
 	return s
 }
 
+// teamShares lists, by name, the part of the capacity that each team used.
+func teamShares(trace tracer.Trace, report *player.Report) string {
+	capacity := (trace.Length() - trace.Length()/6) * tracer.Slots
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(report.TeamRan)) {
+		parts = append(parts, fmt.Sprintf("%s %.0f%%", name, 100*float64(report.TeamRan[name])/float64(capacity)))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // Batch is the profile of long jobs in the traces. Its jobs are not short work, however few tasks they have.
 const Batch = "batch"
 
--- a/replay/reporter/table.go
+++ b/replay/reporter/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,23 @@
 		fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f%%\t%s\t%d\t%d\t%d\t%.2f\t%d\t%d\t\n", r.Variant, r.AllMedian, r.AllHigh,
 			r.ShortMedian, r.ShortHigh, r.WorstWide, 100*r.Goodput, optional(r.Blocking), r.Lost, r.Right, r.Wrong, r.Messages, r.Refused, r.Failed)
 	}
-	return errors.Wrap(table.Flush(), "write table")
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	return printTeams(to, rows)
+}
+
+// printTeams writes the shares of the teams where there are several.
+func printTeams(to io.Writer, rows []Summary) error {
+	for _, r := range rows {
+		if !strings.Contains(r.Teams, ",") {
+			continue
+		}
+		if _, err := fmt.Fprintf(to, "slots used, %s: %s\n", r.Variant, r.Teams); err != nil {
+			return errors.Wrap(err, "write table")
+		}
+	}
+	return nil
 }
 
 func optional(value float64) string {
--- a/replay/variants.go
+++ b/replay/variants.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"time"
+
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/orderer"
@@ -19,6 +21,7 @@
 		{Name: "late binding, by arrival", Order: orderer.ByArrival{}, NewScheduler: engine[scheduler.LateBinding]},
 		{Name: "late binding", Order: byWidth, NewScheduler: engine[scheduler.LateBinding]},
 		{Name: "bounded queue", Order: byWidth, NewScheduler: admitting(admitter.ByQueue{Bound: 1000})},
+		{Name: "without shares", Order: byWidth, NewScheduler: withoutShares},
 		{Name: "chosen", Order: byWidth, NewScheduler: admitting(admitter.ByFinish{})},
 	}
 }
@@ -30,7 +33,14 @@
 
 // admitting returns a scheduler with late binding and an admission policy.
 func admitting(policy admitter.Policy) func(uint64, specifier.Member, map[string]specifier.Team) player.Scheduler {
-	return func(seed uint64, self specifier.Member, _ map[string]specifier.Team) player.Scheduler {
-		return &scheduler.Scheduler{Zone: self.Zone, Seed: seed, Admission: policy}
+	return func(seed uint64, self specifier.Member, teams map[string]specifier.Team) player.Scheduler {
+		chosen := &scheduler.Scheduler{Zone: self.Zone, Seed: seed, Admission: policy}
+		chosen.SetTeams(time.Time{}, teams)
+		return chosen
 	}
 }
+
+// withoutShares is the chosen scheduler without the shares of teams.
+func withoutShares(seed uint64, self specifier.Member, _ map[string]specifier.Team) player.Scheduler {
+	return admitting(admitter.ByFinish{})(seed, self, nil)
+}
