Lease shares of slots to entries

Cause: with an equal split, a team whose work arrives at one entry got 24% of the slots where it asked for 40% within its share. Change: limiter.Lessor divides the slots among teams and entries by need, at each renewal of an entry; valid leases never exceed the slots; entries decide alone between renewals. Conclusion: one quota holds over several entries without a message for each task.

--- a/dispatch/limiter/limiter.go
+++ b/dispatch/limiter/limiter.go
@@ -16,6 +16,7 @@
 	teams  map[string]*team
 	order  []*team // by name
 	claims []Claim // reused
+	lease  Lease
 }
 
 // team is what one team holds and waits for.
@@ -82,29 +83,63 @@
 // Waiting returns the expected run time of the team's waiting tasks.
 func (l *Limiter) Waiting(name string) time.Duration { return l.teams[name].work }
 
-// Allocation returns how many of slots a team gets if it has enough work for all: at least its share of those
-// teams that have work.
-func (l *Limiter) Allocation(name string, slots float64) float64 {
-	return l.fill(name, slots, math.Inf(1))
+// SetLease replaces what the entry may count on. Without a valid lease, the entry counts on an equal part of each
+// share.
+func (l *Limiter) SetLease(lease Lease) { l.lease = lease }
+
+// Need returns the slots that each team with work could use, to renew the lease with.
+func (l *Limiter) Need() map[string]float64 {
+	need := make(map[string]float64)
+	for _, each := range l.order {
+		if each.held+each.waiting > 0 {
+			need[each.name] = each.need()
+		}
+	}
+	return need
+}
+
+// Allocation returns how many of slots, this entry's part, a team gets if it has enough work for all: what its lease
+// says, or at least its share of those teams that have work.
+func (l *Limiter) Allocation(now time.Time, name string, slots float64) float64 {
+	if !now.Before(l.lease.Until) {
+		return l.fill(name, slots, math.Inf(1))
+	}
+	// A team that asks for more than at its last renewal has its own share of an equal part at once. For all entries
+	// together this is its share, so that the overshoot is at most what other teams borrow of it.
+	return max(l.lease.Slots[name], l.guarantee(name, slots))
+}
+
+// guarantee returns the team's share of slots.
+func (l *Limiter) guarantee(name string, slots float64) float64 {
+	total := 0.0
+	for _, each := range l.order {
+		total += each.share
+	}
+	return slots * l.teams[name].share / max(total, 1e-9)
 }
 
 // Delay returns how far the team's next task moves back in the order: the time that its waiting work takes on its
 // allocation, or 0 while it uses no more than that.
-func (l *Limiter) Delay(name string, slots float64) time.Duration {
+func (l *Limiter) Delay(now time.Time, name string, slots float64) time.Duration {
 	known := l.teams[name]
 	if known == nil {
 		return 0
 	}
-	need := float64(known.held + known.waiting)
-	given := l.fill(name, slots, need)
-	if need <= given || !l.contended(known) {
+	given := l.Allocation(now, name, slots)
+	if known.need() <= given || !l.contended(now, known) {
 		return 0
 	}
 	return time.Duration(float64(known.work) / max(given, 1))
 }
 
-// contended reports whether another team has work.
-func (l *Limiter) contended(except *team) bool {
+// need returns the slots that the team could use now.
+func (t *team) need() float64 { return needFactor*float64(t.held+t.waiting) + needExtra }
+
+// contended reports whether another team has work, here or, as the lease shows, at other entries.
+func (l *Limiter) contended(now time.Time, except *team) bool {
+	if now.Before(l.lease.Until) && l.lease.Contended {
+		return true
+	}
 	return slices.ContainsFunc(l.order, func(t *team) bool { return t != except && t.waiting > 0 })
 }
 
@@ -113,7 +148,7 @@
 	l.claims = l.claims[:0]
 	at := -1
 	for i, each := range l.order {
-		claim := Claim{Share: each.share, Need: needFactor*float64(each.held+each.waiting) + needExtra}
+		claim := Claim{Share: each.share, Need: each.need()}
 		if each.held+each.waiting == 0 {
 			claim.Need = 0
 		}
--- /dev/null
+++ b/dispatch/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier decides whether and when a task is sent again.
+package retrier
--- a/dispatch/scheduler/admission.go
+++ b/dispatch/scheduler/admission.go
@@ -25,7 +25,7 @@
 	if bound := profile.QueueBound; bound > 0 && demand.Queued+demand.Tasks > bound {
 		return &Refusal{Reason: specifier.Overloaded, Detail: "the queue of this entry is full", RetryAfter: time.Second}
 	}
-	quota := limitTeam(pool, job.Team, &demand)
+	quota := limitTeam(now, pool, job.Team, &demand)
 	if ok, retryAfter := e.Admission.Admit(demand); !ok {
 		if quota {
 			return &Refusal{Reason: specifier.QuotaExceeded, Detail: "the share of the team is used up", RetryAfter: retryAfter}
@@ -37,11 +37,11 @@
 
 // limitTeam sets the job against the work and the slots of its own team, so that a team within its share is not
 // refused for the work of another. It reports whether the team's part is what counts.
-func limitTeam(pool *pool, team string, demand *admitter.Demand) bool {
+func limitTeam(now time.Time, pool *pool, team string, demand *admitter.Demand) bool {
 	if !pool.limiter.Limits(team) {
 		return false
 	}
-	given := pool.limiter.Allocation(team, demand.Slots)
+	given := pool.limiter.Allocation(now, team, demand.Slots)
 	limited := given < demand.Slots
 	demand.Slots = given
 	demand.Waiting = min(demand.Waiting, pool.limiter.Waiting(team))
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -72,7 +72,7 @@
 	e.init()
 	var delay time.Duration
 	if len(items) > 0 {
-		delay = e.teamDelay(items[0])
+		delay = e.teamDelay(now, items[0])
 	}
 	for _, item := range items {
 		typical := e.profiles[item.Profile].TypicalTime
--- a/replay/player/player.go
+++ b/replay/player/player.go
@@ -76,6 +76,7 @@
 		p.entries = append(p.entries, e)
 		e.setMembers(p.members)
 	}
+	p.startLessor(teams)
 }
 
 func (p *Player) addJob(number int, from tracer.Job) {
--- a/replay/player/scheduler.go
+++ b/replay/player/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/limiter"
 	"oleandertally/dispatch/scheduler"
 )
 
@@ -20,4 +21,6 @@
 	Ejections() []specifier.Identity
 	Forget(job specifier.JobID)
 	Next() time.Time
+	Need(service string) map[string]float64
+	SetLease(now time.Time, service string, lease limiter.Lease)
 }
--- a/replay/player/variant.go
+++ b/replay/player/variant.go
@@ -11,6 +11,8 @@
 	Order orderer.Policy
 	// FIFO makes agents start tasks in order of arrival at the agent.
 	FIFO bool
+	// Leases makes a lessor divide the slots among entries and teams.
+	Leases bool
 	// NewScheduler returns the scheduler of the entry self.
 	NewScheduler func(seed uint64, self specifier.Member, teams map[string]specifier.Team) Scheduler
 }
--- a/replay/tracer/catalog.go
+++ b/replay/tracer/catalog.go
@@ -21,7 +21,7 @@
 		c.faulty("zone-lost", Fault{Kind: ZoneLost, Zone: 1}),
 		c.cancelWave(), c.resubmit(), c.drainDuringBurst(),
 		c.faulty("two-faults", Fault{Kind: BlackHole, Worker: 4}, Fault{Kind: ZoneLost, Zone: 2}),
-		c.poison(), c.teams())
+		c.poison(), c.teams(), c.teamsSkewed())
 }
 
 // catalog holds what all traces of one catalog share.
@@ -125,3 +125,16 @@
 	trace.Teams = map[string]float64{"agents": 1, "sales": 3}
 	return trace
 }
+
+// teamsSkewed is a team of share 3 whose work all arrives at one entry, against one of share 1 that asks for 1.2 of
+// the capacity everywhere.
+func (c catalog) teamsSkewed() Trace {
+	trace := c.teams()
+	trace.Name = "teams-skewed"
+	for i := range trace.Jobs {
+		if trace.Jobs[i].Team == "sales" {
+			trace.Jobs[i].Entry = 0
+		}
+	}
+	return trace
+}
--- a/replay/variants.go
+++ b/replay/variants.go
@@ -22,7 +22,8 @@
 		{Name: "late binding", Order: byWidth, NewScheduler: engine[scheduler.LateBinding]},
 		{Name: "bounded queue", Order: byWidth, NewScheduler: admitting(admitter.ByQueue{Bound: 1000})},
 		{Name: "without shares", Order: byWidth, NewScheduler: withoutShares},
-		{Name: "chosen", Order: byWidth, NewScheduler: admitting(admitter.ByFinish{})},
+		{Name: "without leases", Order: byWidth, NewScheduler: admitting(admitter.ByFinish{})},
+		{Name: "chosen", Order: byWidth, Leases: true, NewScheduler: admitting(admitter.ByFinish{})},
 	}
 }
 
