--- /dev/null
+++ b/dispatch/admitter/byfinish_test.go
@@ -0,0 +1,38 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func mustAdmit(t *testing.T, demand Demand, want, wantRetry bool) {
+	t.Helper()
+	ok, retryAfter := ByFinish{}.Admit(demand)
+	must.Eq(t, want, ok)
+	must.Eq(t, wantRetry, retryAfter > 0)
+}
+
+func TestByFinish(t *testing.T) {
+	job := Demand{Slots: 30, Tasks: 8, Work: 4 * time.Second, Longest: time.Second, TimeLeft: 10 * time.Second}
+	t.Run("an empty queue", func(t *testing.T) { mustAdmit(t, job, true, false) })
+	t.Run("a long queue: later", func(t *testing.T) {
+		// Guards against work that is admitted and then misses its deadline.
+		job.Waiting = 10 * time.Minute
+		mustAdmit(t, job, false, true)
+	})
+	t.Run("too long by itself: never", func(t *testing.T) {
+		mustAdmit(t, Demand{Slots: 30, Longest: time.Minute, TimeLeft: 10 * time.Second}, false, false)
+	})
+	t.Run("a wide job that needs most of its time is admitted to an empty queue", func(t *testing.T) {
+		mustAdmit(t, Demand{Slots: 30, Work: 160 * time.Second, Longest: time.Second, TimeLeft: 10 * time.Second}, true, false)
+	})
+}
+
+func TestByQueue(t *testing.T) {
+	ok, _ := ByQueue{Bound: 10}.Admit(Demand{Queued: 5, Tasks: 5})
+	must.True(t, ok)
+	ok, _ = ByQueue{Bound: 10}.Admit(Demand{Queued: 5, Tasks: 6})
+	must.False(t, ok)
+}
--- /dev/null
+++ b/dispatch/orderer/key_test.go
@@ -0,0 +1,29 @@
+package orderer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestGuard(t *testing.T) {
+	t.Run("a wide job is not passed over until it is too late", func(t *testing.T) {
+		key := Key{At: start.Add(27 * time.Second)}
+		must.Eq(t, start.Add(4*time.Second), key.Guard(start, start.Add(10*time.Second)).At)
+	})
+	t.Run("an earlier key stays", func(t *testing.T) {
+		key := Key{At: start.Add(time.Second)}
+		must.Eq(t, key, key.Guard(start, start.Add(10*time.Second)))
+	})
+	t.Run("no deadline, no guard", func(t *testing.T) {
+		key := Key{At: start.Add(27 * time.Second)}
+		must.Eq(t, key, key.Guard(start, time.Time{}))
+	})
+}
+
+func TestPolicies(t *testing.T) {
+	must.Eq(t, start, ByArrival{}.At(start, 100, 0))
+	must.Eq(t, start.Add(time.Second), ByWidth{Penalty: TaskPenalty}.At(start, 12, 2))
+	must.Eq(t, start.Add(3*time.Second), ByWidth{Penalty: TaskPenalty, Bound: 3 * time.Second}.At(start, 100, 0))
+}
--- a/dispatch/scheduler/agent.go
+++ b/dispatch/scheduler/agent.go
@@ -22,13 +22,16 @@
 	long       int       // held tasks in the limited lane
 	paceAt     time.Time // start of the current pace interval
 	paced      int       // tasks sent in it
+
+	refusedUntil time.Time // it gets no task before
 }
 
 // held is a task that an agent was sent and has not answered.
 type held struct {
-	item Item
-	lane lane
-	sent time.Time
+	item     Item
+	lane     lane
+	sent     time.Time
+	attempts int
 }
 
 // slots returns how many tasks the agent can run at once.
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -5,11 +5,13 @@
 	"slices"
 	"time"
 
+	"oleandertally/core/collector"
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/admitter"
 	"oleandertally/dispatch/classifier"
 	"oleandertally/dispatch/ejector"
 	"oleandertally/dispatch/orderer"
+	"oleandertally/dispatch/retrier"
 )
 
 // Engine holds the tasks of one entry until an agent has room, in the order of their keys. The placement
@@ -32,13 +34,21 @@
 	entries    int
 	teams      map[string]specifier.Team
 	ejector    ejector.Ejector[breaker, *breaker]
+	retrier    retrier.Retrier
+	delayed    collector.Heap[delayed]
 	ejected    []specifier.Identity
 	lastShort  time.Time
 	refreshed  time.Time
+	sentAt     time.Time
 	sending    []Assignment // the buffer that Dispatch returns
 }
 
 const (
+	// refreshEvery is how often room that depends on the age of reports is computed again while tasks wait.
+	refreshEvery = 20 * time.Millisecond
+	// refusalPause is how long an agent that refused a task gets none: its upstream is absent or it is draining, and
+	// the report or record of this is on its way.
+	refusalPause = 100 * time.Millisecond
 	// urgentWithin is how far ahead a key may lie to count as nearly due. A job of 10 tasks is so on arrival.
 	urgentWithin = time.Second
 	// lendAfter is how long no short work must have arrived before long work may take more than its share.
@@ -57,6 +67,8 @@
 		e.Admission = admitter.ByFinish{}
 	}
 	e.random = rand.New(rand.NewPCG(e.Seed, 0))
+	e.retrier.Random = e.random
+	e.delayed.Less = func(a, b delayed) bool { return a.before(b) }
 }
 
 // SetLinked says whether the entry has a stream to the agent.
@@ -75,25 +87,32 @@
 		delay = e.teamDelay(now, items[0])
 	}
 	for _, item := range items {
-		typical := e.profiles[item.Profile].TypicalTime
-		kind := laneOf(e.classifier.Class(item.Profile, typical))
-		if kind == free {
-			e.lastShort = now
-		}
 		pool := e.pool(item.Service)
 		job := e.job(item.Key.Job, pool)
 		job.team = item.Team
 		item.Order.At = item.Order.At.Add(delay)
 		item.Order = item.Order.Guard(now, item.Deadline)
-		next := waiting{item: item, job: job, lane: kind, expected: e.classifier.Mean(item.Profile, typical)}
-		pool.count(next, 1)
-		pool.waiting[kind].Push(next)
+		e.retrier.First(item.Profile, e.profiles[item.Profile].RetryBudget)
+		if e.push(job, item, 0) == free {
+			e.lastShort = now
+		}
 	}
 }
 
+// push adds a task to the lane of its profile's class.
+func (e *Engine[P, T]) push(job *job, item Item, attempts int) lane {
+	typical := e.profiles[item.Profile].TypicalTime
+	kind := laneOf(e.classifier.Class(item.Profile, typical))
+	next := waiting{item: item, job: job, lane: kind, attempts: attempts, expected: e.classifier.Mean(item.Profile, typical)}
+	job.pool.count(next, 1)
+	job.pool.waiting[kind].Push(next)
+	return kind
+}
+
 // Dispatch returns what can be sent now, in order. The slice is valid until the next call.
 func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
 	e.sending = e.sending[:0]
+	e.wake(now)
 	if e.queued() == 0 {
 		return nil
 	}
@@ -138,7 +157,7 @@
 	pool.count(next, -1)
 	next.job.held++
 	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
-	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now}
+	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now, attempts: next.attempts + 1}
 	pool.held++
 	pool.limiter.Held(next.item.Team, 1)
 	pool.short.observe(now, pool.held-pool.long)
@@ -148,6 +167,7 @@
 		agent.zone.long++
 	}
 	agent.pace(now)
+	e.sentAt = now
 	e.ejector.Sent(&agent.health)
 	e.update(now, agent)
 	e.sending = append(e.sending, Assignment{Agent: agent.member.Identity, Item: next.item})
@@ -179,18 +199,48 @@
 	e.update(now, agent)
 }
 
-// Refused notes that the agent did not start a task; it is queued again.
+// Refused notes that the agent did not start a task; it is queued again after a delay.
 func (e *Engine[P, T]) Refused(now time.Time, id specifier.Identity, key specifier.TaskKey) {
 	agent := e.agents[id]
 	if agent == nil {
 		return
 	}
+	agent.refusedUntil = now.Add(refusalPause)
 	if task, ok := e.release(agent, key); ok {
-		e.Enqueue(now, []Item{task.item})
+		e.requeue(now, task)
 	}
 	e.update(now, agent)
 }
 
+// requeue queues a task that is proved not started. One that could only come back past its deadline is dropped: the
+// coordinator ends its job at the deadline.
+func (e *Engine[P, T]) requeue(now time.Time, task held) {
+	attempt := retrier.Attempt{Profile: task.item.Profile, Cause: retrier.NotStarted, Count: task.attempts, Deadline: task.item.Deadline}
+	at, ok := e.retrier.Plan(now, attempt)
+	if !ok {
+		return
+	}
+	job := e.job(task.item.Key.Job, e.pool(task.item.Service))
+	job.team = task.item.Team
+	job.delayed++
+	e.delayed.Push(delayed{at: at, task: task, job: job})
+}
+
+// wake queues the delayed tasks whose time has come.
+func (e *Engine[P, T]) wake(now time.Time) {
+	for {
+		next, ok := e.delayed.Peek()
+		if !ok || next.at.After(now) {
+			return
+		}
+		e.delayed.Pop()
+		next.job.delayed--
+		if !next.job.forgotten {
+			e.push(next.job, next.task.item, next.task.attempts)
+		}
+	}
+}
+
 // release takes a task off an agent.
 func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (held, bool) {
 	task, ok := agent.held[key]
@@ -251,10 +301,21 @@
 
 // Next returns when Dispatch should run again though no event came, or the zero time.
 func (e *Engine[P, T]) Next() time.Time {
+	var next time.Time
+	if first, ok := e.delayed.Peek(); ok {
+		next = first.at
+	}
 	if e.queued() == 0 {
-		return time.Time{}
+		return next
+	}
+	refresh := e.refreshed.Add(refreshEvery)
+	if paced := e.sentAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.refreshed) {
+		refresh = paced
+	}
+	if next.IsZero() || refresh.Before(next) {
+		return refresh
 	}
-	return e.refreshed.Add(paceInterval)
+	return next
 }
 
 // refresh computes the room of all agents again, since the views age.
@@ -320,7 +381,7 @@
 
 // drop removes a job that has nothing left.
 func (e *Engine[P, T]) drop(id specifier.JobID, job *job) {
-	if job.held == 0 && !job.forgotten && job.waiting == [lanes]int{} {
+	if job.held == 0 && job.delayed == 0 && !job.forgotten && job.waiting == [lanes]int{} {
 		delete(e.jobs, id)
 	}
 }
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -15,6 +15,7 @@
 	work      [lanes]time.Duration // expected run time of the waiting tasks
 	sent      []sent               // including tasks that have ended
 	held      int
+	delayed   int // tasks that are queued again later
 }
 
 // sent is a task that was sent to an agent.
--- a/dispatch/scheduler/latebinding.go
+++ b/dispatch/scheduler/latebinding.go
@@ -40,6 +40,9 @@
 	if slots == 0 {
 		return [lanes]int{}
 	}
+	if now.Before(agent.refusedUntil) {
+		return [lanes]int{}
+	}
 	if now.Sub(agent.paceAt) < paceInterval && agent.paced >= paceTasks {
 		return [lanes]int{}
 	}
--- a/dispatch/scheduler/pool.go
+++ b/dispatch/scheduler/pool.go
@@ -26,6 +26,7 @@
 type waiting struct {
 	item     Item
 	job      *job
+	attempts int
 	lane     lane
 	expected time.Duration // run time
 }
