--- a/replay/player/scheduler.go
+++ b/replay/player/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/limiter"
 	"oleandertally/dispatch/scheduler"
 )
 
@@ -17,6 +18,9 @@
 	Done(now time.Time, id specifier.Identity, key specifier.TaskKey, ok bool, runTime time.Duration)
 	Refused(now time.Time, id specifier.Identity, key specifier.TaskKey)
 	Reported(now time.Time, id specifier.Identity, load specifier.Load)
+	Ejections() []specifier.Identity
 	Forget(job specifier.JobID)
 	Next() time.Time
+	Need(service string) map[string]float64
+	SetLease(now time.Time, service string, lease limiter.Lease)
 }
