Tell an entry the agent's load when it opens a stream

Cause: an agent announces itself before its upstream does, with 0 slots; an entry that linked then used that load until the first result, so 2 of 11 workers got no task. Change: the agent sends its load as the first message of a stream.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -52,6 +52,7 @@
 	switch event := event.(type) {
 	case Linked:
 		x.links[event.Entry] = event.Link
+		x.out = append(x.out, Greet{Entry: event.Entry, Load: x.Load()})
 	case Unlinked:
 		if x.links[event.Entry] == event.Link {
 			delete(x.links, event.Entry)
--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -173,6 +173,8 @@
 		a.links.Put(action.Entry, listener.EncodeRefused(action))
 	case executor.Report:
 		a.links.Put(action.Entry, listener.EncodeReport(action))
+	case executor.Greet:
+		a.links.Put(action.Entry, &encoder.AgentMessage{Load: listener.EncodeLoad(action.Load)})
 	case executor.Announce:
 		a.links.PutAll(&encoder.AgentMessage{Load: listener.EncodeLoad(action.Load)})
 		a.attender.Announce(a.member(action.Load.Slots))
--- a/core/reporter/values.go
+++ b/core/reporter/values.go
@@ -6,7 +6,7 @@
 var (
 	outcomes = []specifier.Outcome{specifier.Complete, specifier.Failed, specifier.NotRun}
 	reasons  = []specifier.Reason{
-		specifier.Invalid, specifier.Unauthorized, specifier.UnknownProfile, specifier.UnknownTeam,
+		specifier.Invalid, specifier.UnauthorizedProfile, specifier.UnknownTeam,
 		specifier.KeyReused, specifier.KeyExpired, specifier.DeadlinePast, specifier.NoWorker,
 		specifier.Overloaded, specifier.QuotaExceeded, specifier.Unavailable, specifier.Stopping,
 		specifier.Cancelled, specifier.TimedOut, specifier.StillRunning, specifier.TaskFailed, specifier.WorkerLost,
@@ -15,7 +15,6 @@
 	verdicts = []specifier.Verdict{
 		specifier.Accepted, specifier.Attached, specifier.Finished, specifier.Conflict, specifier.Stale,
 		specifier.Fenced, specifier.Applied, specifier.Rejected, specifier.Full, specifier.NotLeader,
-		specifier.Unknown,
 	}
 	roles  = []specifier.Role{specifier.Entry, specifier.Agent, specifier.Controller}
 	states = []specifier.MemberState{specifier.Up, specifier.Draining, specifier.Down}
--- a/entry/coordinator/world_test.go
+++ b/entry/coordinator/world_test.go
@@ -291,6 +291,8 @@
 			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
 		case executor.Report:
 			w.toEntry(a, action.Entry, coordinator.Reported{Agent: a.id, Job: action.Job, Epoch: action.Epoch, Tasks: action.Tasks, Mark: action.Mark})
+		case executor.Greet:
+			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
 		case executor.Announce:
 			for _, e := range w.entries {
 				w.toEntry(a, e.id, coordinator.Loaded{Agent: a.id, Load: action.Load})
