--- a/state/journaler/syncer_test.go
+++ b/state/journaler/syncer_test.go
@@ -50,13 +50,10 @@
 func TestSyncerStopsOnFailure(t *testing.T) {
 	folder := newFakeFolder()
 	journal, _ := open(t, folder, 0)
-	must.NoError(t, journal.Close())
-	folder.failSync = nil
-	queue := mailer.NewOutbox[Request]()
-	journal, _ = open(t, folder, 0)
 	folder.failSync = syscall.EIO
-	syncer := &Syncer{Journal: journal, Queue: queue, Report: func(uint64) { t.Error("reported after a failed sync") }}
-	queue.Put(Request{1, records(1, 1, 1)})
+	syncer := &Syncer{Journal: journal, Queue: mailer.NewOutbox[Request](),
+		Report: func(uint64) { t.Error("reported after a failed sync") }}
+	syncer.Queue.Put(Request{1, records(1, 1, 1)})
 	err := syncer.Run(t.Context())
 	must.ErrorIs(t, err, ErrFailed)
 	must.ErrorIs(t, err, syscall.EIO)
--- a/state/registrar/bench_test.go
+++ b/state/registrar/bench_test.go
@@ -9,9 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	"oleandertally/core/encoder"
 	"oleandertally/core/specifier"
+	"oleandertally/state/journaler"
 )
 
 func heap() float64 {
@@ -88,3 +92,72 @@
 		})
 	}
 }
+
+// BenchmarkRecovery opens a journal of batches with one command each, 100 batches in a frame,
+// from files in the page cache, and decodes and applies all of them.
+func BenchmarkRecovery(b *testing.B) {
+	for name, command := range map[string]func(i uint64) specifier.Command{
+		"acceptances": func(i uint64) specifier.Command {
+			command := accept(1, first)
+			command.Job = specifier.NewJobID("team", fmt.Sprint(i))
+			return command
+		},
+		"configurations": func(i uint64) specifier.Command {
+			return change(fmt.Sprint(i), "ana", specifier.Revision(i), fmt.Sprint("profile-", i%100))
+		},
+	} {
+		for _, count := range []int{1000, 10_000, 100_000} {
+			b.Run(fmt.Sprint(name, "/", count), func(b *testing.B) {
+				disk, err := journaler.OpenDisk(b.TempDir())
+				must.NoError(b, err)
+				defer disk.Close()
+				fill(b, disk, count, command)
+				var r *Registrar
+				before := heap()
+				for b.Loop() {
+					r = recovered(b, disk)
+				}
+				b.ReportMetric((heap()-before)/float64(count), "heap-B/change")
+				must.Eq(b, uint64(count), r.Index())
+			})
+		}
+	}
+}
+
+func fill(b *testing.B, disk *journaler.Disk, count int, command func(i uint64) specifier.Command) {
+	journal := &journaler.Journal{Folder: disk, Disk: 1, Log: zerolog.Nop()}
+	_, err := journal.Open()
+	must.NoError(b, err)
+	var records []journaler.Record
+	for i := range uint64(count) {
+		batch := Batch{Advance: time.Millisecond / 10, Commands: []specifier.Command{command(i)}}
+		if i == 0 {
+			batch.Commands = append([]specifier.Command{specifier.JoinMember{Member: member(specifier.Entry, first)}}, batch.Commands...)
+		}
+		raw, err := proto.Marshal(encoder.EncodeBatch(batch))
+		must.NoError(b, err)
+		records = append(records, journaler.Record{Index: i + 1, Term: 1, Data: raw})
+		if len(records) == 100 {
+			must.NoError(b, journal.Commit(journaler.Append{Records: records}))
+			records = nil
+		}
+	}
+	must.NoError(b, journal.Close())
+}
+
+func recovered(b *testing.B, disk *journaler.Disk) *Registrar {
+	journal := &journaler.Journal{Folder: disk, Disk: 1, Log: zerolog.Nop()}
+	content, err := journal.Open()
+	must.NoError(b, err)
+	r := New(len(content.Records))
+	for _, record := range content.Records {
+		var m encoder.LogBatch
+		must.NoError(b, proto.Unmarshal(record.Data, &m))
+		batch, err := encoder.DecodeBatch(&m)
+		must.NoError(b, err)
+		for _, decision := range r.Apply(record.Index, batch) {
+			must.True(b, decision.Verdict == specifier.Accepted || decision.Verdict == specifier.Applied)
+		}
+	}
+	return r
+}
--- a/state/registrar/submissions_test.go
+++ b/state/registrar/submissions_test.go
@@ -89,6 +89,22 @@
 			must.Eq(b.t, []specifier.Identity{worker}, decision.Departed)
 			must.Eq(b.t, decision, b.want(specifier.Accepted, takeOver(1, second, 1)))
 		},
+		"departed in the batch of the acceptance": func(b *bench) {
+			b.registrar.Apply(9, Batch{Commands: []specifier.Command{specifier.EndMember{Identity: worker}, accept(1, first),
+				specifier.EndMember{Identity: first}}})
+			must.Eq(b.t, []specifier.Identity{worker}, b.want(specifier.Accepted, takeOver(1, second, 1)).Departed)
+		},
+		"less time left": func(b *bench) {
+			long := accept(1, first)
+			long.TimeLeft = specifier.MaxTimeLeft
+			b.want(specifier.Accepted, long)
+			b.want(specifier.Applied, specifier.EndMember{Identity: first})
+			b.want(specifier.Accepted, takeOver(1, second, 1))
+			b.advance(specifier.MaxTimeLeft + specifier.KeyRetention - time.Nanosecond)
+			must.Eq(b.t, 1, b.registrar.Submissions())
+			b.advance(10 * time.Second)
+			must.Eq(b.t, 0, b.registrar.Submissions())
+		},
 		"lost decision, then accept": func(b *bench) {
 			down(b)
 			b.want(specifier.Accepted, takeOver(1, second, 1))
