--- a/state/replicator/change.go
+++ b/state/replicator/change.go
@@ -51,10 +51,28 @@
 		reason = UnknownServer
 	} else if current.votes(event.ID) && len(current.voters()) == 1 {
 		reason = LastVoter
+	} else if n.role == Leader && !n.answering(membership{servers: current.without(event.ID)}) {
+		reason = NoMajority
 	}
 	n.requestChange(event.Ticket, reason, current.without(event.ID))
 }
 
+// answering reports whether most voters of a list answered within the lease. A list without such a majority
+// could not be committed, nor replaced by another one.
+func (n *Node) answering(list membership) bool {
+	voters, count := list.voters(), 0
+	for _, id := range voters {
+		if id == n.Self || n.answers(n.lead.peer(id)) {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
+func (n *Node) answers(peer *peer) bool {
+	return peer != nil && n.now.Before(peer.acked.Add(n.Settings.Lease))
+}
+
 // continueChange takes the next step of additions under way, one committed list at a time.
 func (n *Node) continueChange() {
 	if !n.ready() || n.changing() {
@@ -81,5 +99,5 @@
 // caughtUp reports whether a learner holds every committed entry and answers.
 func (n *Node) caughtUp(id ServerID) bool {
 	peer := n.lead.peer(id)
-	return peer != nil && peer.match >= n.commit && n.now.Before(peer.acked.Add(n.Settings.Lease))
+	return n.answers(peer) && peer.match >= n.commit
 }
--- a/state/replicator/disk_test.go
+++ b/state/replicator/disk_test.go
@@ -54,6 +54,14 @@
 	return 0, nil
 }
 
+// next returns the first action that is not durable, or nil.
+func (d *disk) next() Action {
+	if len(d.queue) == 0 {
+		return nil
+	}
+	return d.queue[0]
+}
+
 func (d *disk) last() Index {
 	if len(d.entries) == 0 {
 		return d.snapshot.Index
--- a/state/replicator/election.go
+++ b/state/replicator/election.go
@@ -9,10 +9,14 @@
 	n.electionAt = n.now.Add(timeout + time.Duration(n.Random.Int64N(int64(timeout))))
 }
 
+// mayCampaign reports whether this server is a voter. One whose removal is not committed still campaigns: if its log is the
+// longest, the others can't elect anyone without its vote, which it refuses to shorter logs.
+func (n *Node) mayCampaign() bool { return n.members.voted(n.Self, n.commit) }
+
 // campaign begins with a pre-vote: a server that was cut off does not raise the term of the others.
 func (n *Node) campaign() {
 	n.resetElection()
-	if !n.members.current().votes(n.Self) {
+	if !n.mayCampaign() {
 		return
 	}
 	n.role, n.leader = PreCandidate, ServerID{}
--- a/state/replicator/memberships.go
+++ b/state/replicator/memberships.go
@@ -26,6 +26,20 @@
 	return nil
 }
 
+// voted reports whether id is a voter in the list in force or in one that may come back into force, because what replaced
+// it is not committed.
+func (m *memberships) voted(id ServerID, commit Index) bool {
+	for _, each := range slices.Backward(m.list) {
+		if each.votes(id) {
+			return true
+		}
+		if each.index <= commit {
+			break
+		}
+	}
+	return false
+}
+
 // add notes the membership entries among entries. It returns whether there are any.
 func (m *memberships) add(entries []Entry) bool {
 	before := len(m.list)
--- a/state/replicator/node.go
+++ b/state/replicator/node.go
@@ -103,7 +103,7 @@
 		return time.Time{}
 	case n.role == Leader:
 		return n.nextLeader()
-	case n.members.current().votes(n.Self):
+	case n.mayCampaign():
 		return n.electionAt
 	}
 	return time.Time{}
--- a/state/replicator/reason.go
+++ b/state/replicator/reason.go
@@ -13,5 +13,6 @@
 	ChangePending Reason = "ChangePending" // the previous membership change is not finished
 	KnownServer   Reason = "KnownServer"   // the server to add is a member
 	UnknownServer Reason = "UnknownServer" // the server to remove, replace or transfer to is no voting member
+	NoMajority    Reason = "NoMajority"    // too few of the remaining voters answer to commit the removal
 	LastVoter     Reason = "LastVoter"     // the only voter cannot be removed
 )
--- a/state/replicator/receive.go
+++ b/state/replicator/receive.go
@@ -30,7 +30,7 @@
 		}
 	case TimeoutNow:
 		// The sender led this term and no longer does, so its lease does not stand in the way of a vote.
-		if term == n.state.Term && n.role != Leader && n.role != Candidate && n.members.current().votes(n.Self) {
+		if term == n.state.Term && n.role != Leader && n.role != Candidate && n.mayCampaign() {
 			n.elect(true)
 		}
 	}
--- a/state/replicator/rules_test.go
+++ b/state/replicator/rules_test.go
@@ -49,6 +49,9 @@
 	if err := r.committed(h, hosts); err != nil {
 		return err
 	}
+	if err := r.promoted(h, hosts); err != nil {
+		return err
+	}
 	h.led, h.voters = h.node.role == Leader, h.node.members.current().voters()
 	return r.leases(hosts, now)
 }
@@ -110,6 +113,20 @@
 	return nil
 }
 
+// promoted: a leader makes only those servers voters that hold every committed entry.
+func (r *rules) promoted(h *host, hosts []*host) error {
+	if !h.led || h.node.role != Leader {
+		return nil
+	}
+	for _, other := range hosts {
+		added := h.node.members.current().votes(other.id) && !slices.Contains(h.voters, other.id)
+		if added && !other.disk.holds(h.node.commit, r.history[h.node.commit]) {
+			return fmt.Errorf("promotion: %v makes %v a voter, which lacks committed entry %d", h.id, other.id, h.node.commit)
+		}
+	}
+	return nil
+}
+
 func (r *rules) durable(h *host, hosts []*host, voters []ServerID) bool {
 	term, _ := h.node.log.term(h.node.commit)
 	copies := 0
