--- /dev/null
+++ b/state/replicator/check_test.go
@@ -0,0 +1,63 @@
+package replicator
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against settings and data folders that break the rules of the lease or the log.
+func TestCheckNamesTheField(t *testing.T) {
+	valid := func() *Node {
+		return &Node{Self: ServerID{Name: "a", Disk: 1}, Settings: Defaults(), Random: rand.New(rand.NewPCG(1, 1))}
+	}
+	must.NoError(t, valid().Check())
+	for field, damage := range map[string]func(n *Node){
+		"Self":            func(n *Node) { n.Self.Disk = 0 },
+		"Random":          func(n *Node) { n.Random = nil },
+		"Heartbeat":       func(n *Node) { n.Settings.Heartbeat = 0 },
+		"Lease":           func(n *Node) { n.Settings.Lease = n.Settings.Heartbeat },
+		"ElectionTimeout": func(n *Node) { n.Settings.ElectionTimeout = n.Settings.Lease },
+		"MaxInflight":     func(n *Node) { n.Settings.MaxInflight = 0 },
+		"KeepEntries":     func(n *Node) { n.Settings.KeepEntries = -1 },
+		"first index 2":   func(n *Node) { n.Recovered.Entries = []Entry{{Index: 2}} },
+		"index 3":         func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1}, {Index: 3}} },
+		"term decreases":  func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1, Term: 2}, {Index: 2, Term: 1}} },
+	} {
+		t.Run(field, func(t *testing.T) {
+			node := valid()
+			damage(node)
+			must.ErrorContains(t, node.Check(), field)
+		})
+	}
+}
+
+// Guards against requests that are taken although they can't be kept.
+func TestRefusals(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	now, id := leader.clock(c.now), leader.id
+	follower := others(c, leader)[0]
+	for _, each := range []struct {
+		at    *host
+		event Event
+		want  Reason
+	}{
+		{follower, Propose{}, NotLeader},
+		{leader, Propose{Data: make([]byte, 65)}, TooLarge},
+		{leader, AddServer{Server: Server{ID: id}}, KnownServer},
+		{leader, AddServer{Server: Server{ID: ServerID{"x", 9}, Replaces: ServerID{"y", 9}}}, UnknownServer},
+		{leader, RemoveServer{ID: ServerID{"x", 9}}, UnknownServer},
+		{leader, Transfer{To: id}, UnknownServer},
+	} {
+		t.Run(string(each.want), func(t *testing.T) {
+			actions := each.at.node.Step(now, each.event)
+			must.Eq(t, []Action{Refused{Reason: each.want, Leader: id}}, actions)
+		})
+	}
+	t.Run("NotReady without a lease", func(t *testing.T) {
+		actions := leader.node.Step(now.Add(time.Hour), Propose{})
+		must.Eq(t, Refused{Reason: NotReady, Leader: id}, actions[0].(Refused))
+	})
+}
--- /dev/null
+++ b/state/replicator/fault_test.go
@@ -0,0 +1,197 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// startCluster returns a cluster of voters servers with a leader and one applied proposal.
+func startCluster(t *testing.T, voters int) (*cluster, *host) {
+	t.Helper()
+	c := newCluster(voters, 1, testSettings())
+	assertRuns(t, c, func() bool { return c.leading() != nil })
+	assertCommits(t, c, 1)
+	return c, c.leading()
+}
+
+// assertRuns fails the test unless done comes true within 10 s of the cluster's time.
+func assertRuns(t *testing.T, c *cluster, done func() bool) {
+	t.Helper()
+	reached := c.run(10*time.Second, done)
+	must.NoError(t, c.err)
+	must.True(t, reached)
+}
+
+// assertCommits fails the test unless count proposals are applied by the leader.
+func assertCommits(t *testing.T, c *cluster, count int) {
+	t.Helper()
+	for range count {
+		leader := c.leading()
+		must.NotNil(t, leader)
+		c.propose(leader)
+		last := leader.node.log.last()
+		assertRuns(t, c, func() bool { return leader.applied >= last && leader.node.synced == leader.node.log.last() })
+	}
+}
+
+// assertEqual fails the test unless all members apply the leader's whole log.
+func assertEqual(t *testing.T, c *cluster) {
+	t.Helper()
+	s := &schedule{cluster: c}
+	assertRuns(t, c, func() bool { leader := c.leading(); return leader != nil && s.equal(leader) })
+}
+
+func assertVoters(t *testing.T, c *cluster, want ...*host) {
+	t.Helper()
+	assertRuns(t, c, func() bool {
+		leader := c.leading()
+		return leader != nil && !leader.node.changing() && len(leader.node.members.current().voters()) == len(want)
+	})
+	for _, h := range want {
+		must.True(t, c.leading().node.members.current().votes(h.id))
+	}
+}
+
+func others(c *cluster, h *host) []*host {
+	var rest []*host
+	for _, other := range c.hosts {
+		if other != h {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
+
+// Guards against a cut off leader that answers with outdated state after another one was elected.
+func TestIsolatedLeaderStopsAnsweringFirst(t *testing.T) {
+	c, old := startCluster(t, 3)
+	c.isolate(old)
+	// A proposal that the isolated leader still takes must never be applied.
+	c.propose(old)
+	assertRuns(t, c, func() bool { return !old.node.Leading(old.clock(c.now)) })
+	for _, other := range others(c, old) {
+		must.NotEq(t, Leader, other.node.Role())
+	}
+	assertRuns(t, c, func() bool { return c.leading() != nil && c.leading() != old })
+	assertCommits(t, c, 3)
+	c.heal()
+	assertEqual(t, c)
+	must.Eq(t, c.leading().id, old.node.Leader())
+}
+
+// Guards against losing committed entries when a second server goes right after a repair.
+func TestSecondLossAfterRepair(t *testing.T) {
+	for name, second := range map[string]int{"leader lost next": 0, "other server lost next": 1} {
+		t.Run(name, func(t *testing.T) {
+			c, leader := startCluster(t, 3)
+			lost := others(c, leader)[0]
+			c.crash(lost, 0)
+			lost.lost = true
+			assertCommits(t, c, 20)
+			added := c.addHost(lost.id.Name)
+			c.step(leader, AddServer{Server: Server{ID: added.id, Replaces: lost.id}})
+			survivors := []*host{leader, others(c, leader)[1], added}
+			assertVoters(t, c, survivors...)
+			committed := len(c.rules.history)
+			c.crash(survivors[second], 0)
+			survivors[second].lost = true
+			assertRuns(t, c, func() bool { return c.leading() != nil && c.leading() != survivors[second] })
+			must.GreaterEq(t, Index(committed-1), c.leading().applied)
+			assertCommits(t, c, 3)
+		})
+	}
+}
+
+// Guards against a host that lost its disk and helps to elect a leader without the entries it had acknowledged.
+func TestEmptyDiskDoesNotVote(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	behind, lost := others(c, leader)[0], others(c, leader)[1]
+	c.crash(behind, 0)
+	assertCommits(t, c, 2)
+	c.crash(leader, 0)
+	c.crash(lost, 0)
+	lost.lost = true
+	returned := c.addHost(lost.id.Name)
+	c.start(behind)
+	request := RequestVote{LastIndex: behind.node.log.last(), LastTerm: behind.node.log.lastTerm()}
+	t.Run("it ignores messages to its former identity", func(t *testing.T) {
+		c.now = c.now.Add(time.Minute)
+		envelope := Envelope{From: behind.id, To: lost.id, Term: 9, Message: request}
+		must.SliceEmpty(t, returned.node.Step(returned.clock(c.now), Received{Envelope: envelope}))
+	})
+	t.Run("its vote does not count", func(t *testing.T) {
+		c.advance(0)
+		behind.node.elect(false)
+		c.perform(behind, behind.node.settle())
+		c.sync(behind, len(behind.disk.queue))
+		must.Eq(t, Candidate, behind.node.Role())
+		envelope := Envelope{From: returned.id, To: behind.id, Term: behind.node.Term(), Message: VoteReply{Granted: true}}
+		c.step(behind, Received{Envelope: envelope})
+		must.Eq(t, Candidate, behind.node.Role())
+	})
+	t.Run("no leader without a majority of known disks", func(t *testing.T) {
+		must.False(t, c.run(20*time.Second, func() bool { return c.leading() != nil }))
+		must.NoError(t, c.err)
+	})
+	t.Run("it rejoins as a learner", func(t *testing.T) {
+		c.start(leader)
+		assertRuns(t, c, func() bool { return c.leading() != nil })
+		c.step(c.leading(), AddServer{Server: Server{ID: returned.id, Replaces: lost.id}})
+		assertVoters(t, c, leader, behind, returned)
+		assertEqual(t, c)
+	})
+}
+
+// Guards against a follower that never catches up because the log no longer reaches back to it.
+func TestFarBehindFollowerCatchesUp(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	behind := others(c, leader)[0]
+	c.crash(behind, 0)
+	assertCommits(t, c, 400)
+	at := behind.disk.last()
+	c.start(behind)
+	assertEqual(t, c)
+	must.Greater(t, at+300, behind.applied)
+	must.Greater(t, at, behind.disk.snapshot.Index)
+	must.Greater(t, behind.disk.snapshot.Index, behind.disk.last())
+}
+
+// Guards against a planned stop that leaves the cluster without a leader for an election timeout.
+func TestTransferElectsAtOnce(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	before := c.now
+	c.step(leader, Transfer{})
+	must.Eq(t, Follower, leader.node.Role())
+	assertRuns(t, c, func() bool { return c.leading() != nil })
+	must.NotEq(t, leader, c.leading())
+	must.Eq(t, before, c.now)
+}
+
+// Guards against one disk write and one message for each proposal.
+func TestProposalsShareAnAppend(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	c.propose(leader)
+	for range 10 {
+		c.propose(leader)
+	}
+	must.SliceLen(t, 1, leader.disk.queue)
+	c.sync(leader, 1)
+	must.SliceLen(t, 1, leader.disk.queue)
+	must.SliceLen(t, 10, leader.disk.queue[0].(Append).Entries)
+	assertEqual(t, c)
+}
+
+// Guards against idle clusters that send more than a heartbeat and its answer to each follower.
+func TestIdleTraffic(t *testing.T) {
+	c, leader := startCluster(t, 3)
+	assertEqual(t, c)
+	sent := 0
+	for end := leader.clock(c.now).Add(time.Second); leader.clock(c.now).Before(end); c.advance(time.Second) {
+		sent += len(c.packets)
+		c.drain()
+	}
+	must.LessEq(t, 2*11, sent) // the answers are sent while draining and not counted
+	must.NoError(t, c.err)
+}
