Let a bootstrap repeat after a crash and hand over to answering voters only

Cause: a crash between the term and the first entry left a disk that could never begin a cluster, and a leader could hand over to a server that is down.

--- a/state/replicator/check.go
+++ b/state/replicator/check.go
@@ -31,16 +31,23 @@
 
 // valid reports whether a message from a peer is well formed. The journal requires consecutive entries.
 func (e Envelope) valid() bool {
-	message, isAppend := e.Message.(AppendEntries)
-	if !isAppend {
-		return e.Message != nil && !e.From.IsZero()
+	switch message := e.Message.(type) {
+	case AppendEntries:
+		return !e.From.IsZero() && message.consecutive(e.Term)
+	case InstallSnapshot:
+		return !e.From.IsZero() && message.Snapshot.Index > 0 && len(message.Snapshot.Servers) > 0
 	}
-	index, term := message.PrevIndex, message.PrevTerm
-	for _, entry := range message.Entries {
-		if entry.Index != index+1 || entry.Term < term || entry.Term > e.Term {
+	return e.Message != nil && !e.From.IsZero()
+}
+
+// consecutive reports whether indexes have no gap and terms do not decrease, up to the sender's term.
+func (m AppendEntries) consecutive(last Term) bool {
+	index, term := m.PrevIndex, m.PrevTerm
+	for _, entry := range m.Entries {
+		if entry.Index != index+1 || entry.Term < term || entry.Term > last {
 			return false
 		}
 		index, term = entry.Index, entry.Term
 	}
-	return !e.From.IsZero()
+	return true
 }
--- a/state/replicator/check_test.go
+++ b/state/replicator/check_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// Guards against a server that can never begin a cluster because it crashed while it first tried.
+func TestBootstrapAfterCrash(t *testing.T) {
+	id := ServerID{Name: "a", Disk: 1}
+	node := &Node{Self: id, Settings: Defaults(), Random: rand.New(rand.NewPCG(1, 1)), Recovered: Recovered{State: HardState{Term: 1}}}
+	node.Step(epoch, Started{})
+	node.Step(epoch, Bootstrap{Servers: []Server{{ID: id, Voter: true}}})
+	must.Eq(t, 1, node.log.last())
+}
+
 // Guards against requests that are taken although they can't be kept.
 func TestRefusals(t *testing.T) {
 	c, leader := startCluster(t, 3)
--- a/state/replicator/cluster_test.go
+++ b/state/replicator/cluster_test.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 )
 
@@ -252,5 +251,3 @@
 }
 
 func (c *cluster) heal() { clear(c.blocked) }
-
-var noAddr netip.AddrPort
--- a/state/replicator/handover.go
+++ b/state/replicator/handover.go
@@ -17,11 +17,11 @@
 	n.lead.target, n.lead.transferEnd = target, n.now.Add(n.Settings.ElectionTimeout)
 }
 
-// best returns the other voter that holds most of the log, or zero when there is none.
+// best returns the answering voter that holds most of the log, or zero when no other one answers.
 func (n *Node) best() ServerID {
 	var best *peer
 	for _, peer := range n.lead.peers {
-		if n.members.current().votes(peer.id) && (best == nil || peer.match > best.match) {
+		if n.members.current().votes(peer.id) && n.answers(peer) && (best == nil || peer.match > best.match) {
 			best = peer
 		}
 	}
--- a/state/replicator/reason.go
+++ b/state/replicator/reason.go
@@ -12,7 +12,7 @@
 	Transferring  Reason = "Transferring"  // another server is about to lead
 	ChangePending Reason = "ChangePending" // the previous membership change is not finished
 	KnownServer   Reason = "KnownServer"   // the server to add is a member
-	UnknownServer Reason = "UnknownServer" // the server to remove, replace or transfer to is no voting member
+	UnknownServer Reason = "UnknownServer" // no such member to remove, or no such voter to replace or to hand over to
 	NoMajority    Reason = "NoMajority"    // too few of the remaining voters answer to commit the removal
 	LastVoter     Reason = "LastVoter"     // the only voter cannot be removed
 )
--- a/state/replicator/savesnapshot.go
+++ b/state/replicator/savesnapshot.go
@@ -1,7 +1,7 @@
 package replicator
 
-// SaveSnapshot asks for a snapshot of the state as it is now, after the entry at Snapshot.Index. At most one is
-// being saved at a time.
+// SaveSnapshot asks for a snapshot of the state as it is now, after the entry at Snapshot.Index. The next one
+// comes after SnapshotSaved, or after a Restore, which makes an older snapshot that is still being saved worthless.
 type SaveSnapshot struct {
 	Snapshot Snapshot
 }
--- a/state/replicator/schedule_test.go
+++ b/state/replicator/schedule_test.go
@@ -131,7 +131,7 @@
 	case kind == 2 && len(leader.node.Servers()) > 3 && (h.lost || s.lostVoter(leader) == nil):
 		s.step(leader, RemoveServer{ID: h.id})
 	case kind == 3 && len(s.hosts) < 9:
-		s.step(leader, AddServer{Server: Server{ID: s.addHost("n").id, Addr: noAddr}})
+		s.step(leader, AddServer{Server: Server{ID: s.addHost("n").id}})
 	case kind == 4:
 		s.loseDisk(leader, h)
 	case kind == 5:
--- a/state/replicator/start.go
+++ b/state/replicator/start.go
@@ -47,7 +47,8 @@
 func (n *Node) bootstrap(servers []Server) {
 	servers = slices.Clone(servers)
 	slices.SortFunc(servers, func(a, b Server) int { return a.ID.Compare(b.ID) })
-	if n.state.Term > 0 || n.log.last() > 0 || !(membership{servers: servers}).votes(n.Self) {
+	// A crash may have left the term of an earlier Bootstrap without its entry; no leader has term 1.
+	if n.state.Term > 1 || n.log.last() > 0 || !(membership{servers: servers}).votes(n.Self) {
 		return
 	}
 	n.state = HardState{Term: 1}
