--- a/core/reporter/values.go
+++ b/core/reporter/values.go
@@ -6,7 +6,7 @@
 var (
 	outcomes = []specifier.Outcome{specifier.Complete, specifier.Failed, specifier.NotRun}
 	reasons  = []specifier.Reason{
-		specifier.Invalid, specifier.UnauthorizedProfile, specifier.UnknownTeam,
+		specifier.Invalid, specifier.Unauthorized, specifier.UnknownProfile, specifier.UnknownTeam,
 		specifier.KeyReused, specifier.KeyExpired, specifier.DeadlinePast, specifier.NoWorker,
 		specifier.Overloaded, specifier.QuotaExceeded, specifier.Unavailable, specifier.Stopping,
 		specifier.Cancelled, specifier.TimedOut, specifier.StillRunning, specifier.TaskFailed, specifier.WorkerLost,
