Rename core/sequencer to core/merger

Cause: two packages were called sequencer; this one merges the events of many processes. Change: the name.

--- a/core/sequencer/arrow.go
+++ b/core/merger/arrow.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // arrow is a cause between two lanes.
 type arrow struct {
--- a/core/sequencer/bar.go
+++ b/core/merger/bar.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // bar is the time that a task waited in an agent's queue, or ran.
 type bar struct {
--- a/core/sequencer/lane.go
+++ b/core/merger/lane.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // lane is the line of one process.
 type lane struct {
--- a/core/sequencer/link.go
+++ b/core/merger/link.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // Link says that the event at index From caused the one at index To, at another process.
 type Link struct {
--- a/core/sequencer/mark.go
+++ b/core/merger/mark.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // mark is one event.
 type mark struct {
--- a/core/sequencer/phase.go
+++ b/core/merger/phase.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 import "time"
 
--- a/core/sequencer/phasestate.go
+++ b/core/merger/phasestate.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // PhaseState says how far a phase came.
 type PhaseState string
--- a/core/sequencer/refusal.go
+++ b/core/merger/refusal.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // Refusal counts the tasks that agents refused for one cause.
 type Refusal struct {
--- a/core/sequencer/row.go
+++ b/core/merger/row.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 // row is one event in the table below the drawing.
 type row struct {
--- a/core/sequencer/subject.go
+++ b/core/merger/subject.go
@@ -1,4 +1,4 @@
-package sequencer
+package merger
 
 import (
 	"oleandertally/core/recorder"
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -11,7 +11,7 @@
 
 	"oleandertally/core/encoder"
 	"oleandertally/core/recorder"
-	"oleandertally/core/sequencer"
+	"oleandertally/core/merger"
 	"oleandertally/core/specifier"
 )
 
@@ -59,23 +59,23 @@
 }
 
 // Gather returns the events of the process at addr that filter selects, without its span.
-func (c *Client) Gather(ctx context.Context, addr netip.AddrPort, filter recorder.Filter) (sequencer.Log, error) {
+func (c *Client) Gather(ctx context.Context, addr netip.AddrPort, filter recorder.Filter) (merger.Log, error) {
 	request := &encoder.EventsRequest{Worker: filter.Worker}
 	if filter.Job != (specifier.JobID{}) {
 		request.Job = filter.Job[:]
 	}
-	return call(ctx, c, addr, func(ctx context.Context, conn *grpc.ClientConn) (sequencer.Log, error) {
+	return call(ctx, c, addr, func(ctx context.Context, conn *grpc.ClientConn) (merger.Log, error) {
 		asked := c.Clock()
 		reply, err := encoder.NewTimelineClient(conn).Gather(ctx, request)
 		if err != nil {
-			return sequencer.Log{}, err
+			return merger.Log{}, err
 		}
 		return decodeLog(reply, asked, c.Clock())
 	})
 }
 
-func decodeLog(reply *encoder.EventList, asked, answered time.Time) (sequencer.Log, error) {
-	log := sequencer.Log{Asked: asked, Answered: answered, Now: time.Unix(0, reply.GetNow()), Dropped: int(reply.GetDropped())}
+func decodeLog(reply *encoder.EventList, asked, answered time.Time) (merger.Log, error) {
+	log := merger.Log{Asked: asked, Answered: answered, Now: time.Unix(0, reply.GetNow()), Dropped: int(reply.GetDropped())}
 	if len(reply.GetItems()) > maxEvents {
 		return log, errors.Newf("Items: has %d events, expected at most %d", len(reply.GetItems()), maxEvents)
 	}
--- a/core/verifier/check.go
+++ b/core/verifier/check.go
@@ -11,7 +11,7 @@
 // Check returns every violation in events, which may come in any order and from any number of
 // processes. Sequence numbers order the events of one process. Only NotRunIsTrue compares times
 // of different processes, and only for a refusal before acceptance that is followed by a
-// resubmission at another entry: align the clocks first (sequencer.Merge) when hosts differ.
+// resubmission at another entry: align the clocks first (merger.Merge) when hosts differ.
 func Check(events []recorder.Event, facts Facts) []Violation {
 	ordered := slices.Clone(events)
 	slices.SortStableFunc(ordered, func(a, b recorder.Event) int {
--- a/tally/timeline.go
+++ b/tally/timeline.go
@@ -14,7 +14,7 @@
 
 	"oleandertally/core/operator"
 	"oleandertally/core/recorder"
-	"oleandertally/core/sequencer"
+	"oleandertally/core/merger"
 	"oleandertally/core/specifier"
 )
 
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	timeline := sequencer.Merge(logs).Filter(filter)
+	timeline := merger.Merge(logs).Filter(filter)
 	return c.show(timeline, filter.Job)
 }
 
@@ -155,8 +155,8 @@
 }
 
 // gather asks every process and names on stderr those that do not answer.
-func (c *timelineCommand) gather(ctx context.Context, client *operator.Client, addrs []netip.AddrPort, filter recorder.Filter) ([]sequencer.Log, error) {
-	logs := make([]sequencer.Log, len(addrs))
+func (c *timelineCommand) gather(ctx context.Context, client *operator.Client, addrs []netip.AddrPort, filter recorder.Filter) ([]merger.Log, error) {
+	logs := make([]merger.Log, len(addrs))
 	errs := make([]error, len(addrs))
 	var group errgroup.Group
 	group.SetLimit(gatherLimit)
@@ -169,7 +169,7 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	var answered []sequencer.Log
+	var answered []merger.Log
 	for i, err := range errs {
 		if err != nil {
 			fmt.Fprintf(c.env.stderr, "%s does not answer, its events are missing: %v\n", addrs[i], err)
@@ -183,15 +183,15 @@
 	return answered, nil
 }
 
-func (c *timelineCommand) show(timeline sequencer.Timeline, job specifier.JobID) error {
+func (c *timelineCommand) show(timeline merger.Timeline, job specifier.JobID) error {
 	if c.json {
 		return writeJSON(c.env.stdout, newTimelineReport(timeline, job))
 	}
 	if c.html == "" {
-		return sequencer.WriteText(c.env.stdout, timeline, job)
+		return merger.WriteText(c.env.stdout, timeline, job)
 	}
 	var page bytes.Buffer
-	if err := sequencer.WriteHTML(&page, timeline, job); err != nil {
+	if err := merger.WriteHTML(&page, timeline, job); err != nil {
 		return err
 	}
 	if err := c.env.writeFile(c.html, page.Bytes()); err != nil {
--- a/tally/timelineevent.go
+++ b/tally/timelineevent.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"oleandertally/core/sequencer"
+	"oleandertally/core/merger"
 	"oleandertally/core/specifier"
 )
 
@@ -21,7 +21,7 @@
 	Detail   string `json:",omitempty"`
 }
 
-func newTimelineEvent(e sequencer.Entry) timelineEvent {
+func newTimelineEvent(e merger.Entry) timelineEvent {
 	event := timelineEvent{At: e.Aligned.UTC(), OwnAt: e.At.UTC(), Process: e.Process, Sequence: e.Sequence, Kind: string(e.Kind),
 		Task: e.Task, Epoch: e.Epoch, Other: e.Other, Detail: e.Detail}
 	if e.Job != (specifier.JobID{}) {
--- a/tally/timelinereport.go
+++ b/tally/timelinereport.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"oleandertally/core/sequencer"
+	"oleandertally/core/merger"
 	"oleandertally/core/specifier"
 )
 
@@ -11,17 +11,17 @@
 type timelineReport struct {
 	Job      string `json:",omitempty"`
 	Refused  string // reason and detail, empty when the job was not refused
-	Phases   []sequencer.Phase
-	Clocks   []sequencer.Clock
+	Phases   []merger.Phase
+	Clocks   []merger.Clock
 	Warnings []string
 	Events   []timelineEvent
 }
 
 // newTimelineReport includes the summary when job is not zero.
-func newTimelineReport(timeline sequencer.Timeline, job specifier.JobID) timelineReport {
+func newTimelineReport(timeline merger.Timeline, job specifier.JobID) timelineReport {
 	report := timelineReport{Clocks: timeline.Clocks, Warnings: timeline.Warnings()}
 	if job != (specifier.JobID{}) {
-		summary := sequencer.Summarize(timeline, job)
+		summary := merger.Summarize(timeline, job)
 		report.Job, report.Phases = job.String(), summary.Phases
 		if refused := summary.Refused(); refused != nil {
 			report.Refused = strings.TrimPrefix(refused.Detail, string(specifier.NotRun)+" ")
