Place a task without allocation and test the engine

Cause: records of sent tasks were allocated for each placement, and the list of a job's sent tasks was searched.

--- a/dispatch/scheduler/delayed.go
+++ b/dispatch/scheduler/delayed.go
@@ -4,14 +4,15 @@
 
 // delayed is a task that is queued again later.
 type delayed struct {
-	at   time.Time
-	task held
-	job  *job
+	at       time.Time
+	item     Item
+	attempts int
+	job      *job
 }
 
 func (d delayed) before(other delayed) bool {
 	if !d.at.Equal(other.at) {
 		return d.at.Before(other.at)
 	}
-	return d.task.item.Order.Less(other.task.item.Order)
+	return d.item.Order.Less(other.item.Order)
 }
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -40,6 +40,8 @@
 	lastShort  time.Time
 	refreshed  time.Time
 	sentAt     time.Time
+	paced      []*agent // sent paceTasks tasks lately, oldest first
+	spare      []*held
 	sending    []Assignment // the buffer that Dispatch returns
 }
 
@@ -155,9 +157,10 @@
 	}
 	pool.waiting[next.lane].Pop()
 	pool.count(next, -1)
-	next.job.held++
-	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
-	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now, attempts: next.attempts + 1}
+	task := e.allocate()
+	*task = held{item: next.item, agent: agent, lane: next.lane, sent: now, attempts: next.attempts + 1, job: next.job}
+	agent.held[next.item.Key] = task
+	next.job.note(task)
 	pool.held++
 	pool.limiter.Held(next.item.Team, 1)
 	pool.short.observe(now, pool.held-pool.long)
@@ -166,7 +169,9 @@
 		pool.long++
 		agent.zone.long++
 	}
-	agent.pace(now)
+	if agent.pace(now); agent.paced == paceTasks {
+		e.paced = append(e.paced, agent)
+	}
 	e.sentAt = now
 	e.ejector.Sent(&agent.health)
 	e.update(now, agent)
@@ -195,6 +200,7 @@
 	if ok {
 		e.classifier.Record(task.item.Profile, runTime)
 	}
+	e.recycle(task)
 	agent.pool.short.observe(now, agent.pool.held-agent.pool.long)
 	e.update(now, agent)
 }
@@ -208,13 +214,14 @@
 	agent.refusedUntil = now.Add(refusalPause)
 	if task, ok := e.release(agent, key); ok {
 		e.requeue(now, task)
+		e.recycle(task)
 	}
 	e.update(now, agent)
 }
 
 // requeue queues a task that is proved not started. One that could only come back past its deadline is dropped: the
 // coordinator ends its job at the deadline.
-func (e *Engine[P, T]) requeue(now time.Time, task held) {
+func (e *Engine[P, T]) requeue(now time.Time, task *held) {
 	attempt := retrier.Attempt{Profile: task.item.Profile, Cause: retrier.NotStarted, Count: task.attempts, Deadline: task.item.Deadline}
 	at, ok := e.retrier.Plan(now, attempt)
 	if !ok {
@@ -223,7 +230,7 @@
 	job := e.job(task.item.Key.Job, e.pool(task.item.Service))
 	job.team = task.item.Team
 	job.delayed++
-	e.delayed.Push(delayed{at: at, task: task, job: job})
+	e.delayed.Push(delayed{at: at, item: task.item, attempts: task.attempts, job: job})
 }
 
 // wake queues the delayed tasks whose time has come.
@@ -236,16 +243,16 @@
 		e.delayed.Pop()
 		next.job.delayed--
 		if !next.job.forgotten {
-			e.push(next.job, next.task.item, next.task.attempts)
+			e.push(next.job, next.item, next.attempts)
 		}
 	}
 }
 
 // release takes a task off an agent.
-func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (held, bool) {
+func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (*held, bool) {
 	task, ok := agent.held[key]
 	if !ok {
-		return task, false
+		return nil, false
 	}
 	delete(agent.held, key)
 	agent.pool.held--
@@ -255,13 +262,28 @@
 		agent.pool.long--
 		agent.zone.long--
 	}
-	if job := e.jobs[key.Job]; job != nil {
-		job.held--
-		e.drop(key.Job, job)
-	}
+	task.job.ended(task)
+	e.drop(key.Job, task.job)
 	return task, true
 }
 
+// allocate returns a record for a task that is sent, one of those that were recycled if there is any: the values of
+// the map are too large to be stored in it.
+func (e *Engine[P, T]) allocate() *held {
+	last := len(e.spare) - 1
+	if last < 0 {
+		return &held{}
+	}
+	task := e.spare[last]
+	e.spare = e.spare[:last]
+	return task
+}
+
+func (e *Engine[P, T]) recycle(task *held) {
+	*task = held{}
+	e.spare = append(e.spare, task)
+}
+
 // Reported notes the load that an agent reported.
 func (e *Engine[P, T]) Reported(now time.Time, id specifier.Identity, load specifier.Load) {
 	if agent := e.agents[id]; agent != nil {
@@ -280,8 +302,10 @@
 		return
 	}
 	e.abandon(job)
-	for _, each := range job.sent {
-		e.release(each.agent, each.key)
+	for len(job.sent) > 0 {
+		last := job.sent[len(job.sent)-1]
+		e.release(last.agent, last.item.Key)
+		e.recycle(last)
 	}
 	delete(e.jobs, id)
 }
@@ -318,16 +342,22 @@
 	return next
 }
 
-// refresh computes the room of all agents again, since the views age.
+// refresh computes the room of all agents again every refreshEvery, since the views age, and that of agents that were
+// sent several tasks at once as soon as they may get more.
 func (e *Engine[P, T]) refresh(now time.Time) {
-	if now.Sub(e.refreshed) < paceInterval {
+	if now.Sub(e.refreshed) >= refreshEvery {
+		e.refreshed = now
+		e.paced = e.paced[:0]
+		for _, pool := range e.order {
+			for _, agent := range pool.agents {
+				e.update(now, agent)
+			}
+		}
 		return
 	}
-	e.refreshed = now
-	for _, pool := range e.order {
-		for _, agent := range pool.agents {
-			e.update(now, agent)
-		}
+	for len(e.paced) > 0 && now.Sub(e.paced[0].paceAt) >= paceInterval {
+		e.update(now, e.paced[0])
+		e.paced = slices.Delete(e.paced, 0, 1)
 	}
 }
 
@@ -381,7 +411,7 @@
 
 // drop removes a job that has nothing left.
 func (e *Engine[P, T]) drop(id specifier.JobID, job *job) {
-	if job.held == 0 && job.delayed == 0 && !job.forgotten && job.waiting == [lanes]int{} {
+	if len(job.sent) == 0 && job.delayed == 0 && !job.forgotten && job.waiting == [lanes]int{} {
 		delete(e.jobs, id)
 	}
 }
--- /dev/null
+++ b/dispatch/scheduler/engine_test.go
@@ -0,0 +1,249 @@
+package scheduler
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"oleandertally/core/collector"
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/orderer"
+)
+
+var start = time.Unix(0, 0)
+
+func members(count int) []specifier.Member {
+	list := []specifier.Member{{Identity: specifier.Identity{Name: "entry"}, Role: specifier.Entry, State: specifier.Up}}
+	for i := range count {
+		list = append(list, specifier.Member{Identity: specifier.Identity{Name: fmt.Sprintf("w%04d", i), Incarnation: 1},
+			Role: specifier.Agent, Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: fmt.Sprint(i % 3), Service: "s", Slots: 8,
+			State: specifier.Up})
+	}
+	return list
+}
+
+func newScheduler(agents int) *Scheduler {
+	s := &Scheduler{Zone: "0"}
+	list := members(agents)
+	s.SetMembers(start, list)
+	for _, each := range list {
+		s.SetLinked(start, each.Identity, true)
+	}
+	return s
+}
+
+func items(job string, count int) []Item {
+	id := specifier.NewJobID("t", job)
+	var list []Item
+	for i := range count {
+		key := specifier.TaskKey{Job: id, Task: fmt.Sprint(i)}
+		list = append(list, Item{Key: key, Order: orderer.NewKey(start, count, 0, key), Service: "s", Profile: "p", Team: "t"})
+	}
+	return list
+}
+
+func mustDispatch(t *testing.T, s *Scheduler, now time.Time, want int) []Assignment {
+	t.Helper()
+	sent := s.Dispatch(now)
+	must.Len(t, want, sent)
+	return sent
+}
+
+func TestDispatch(t *testing.T) {
+	t.Run("the least key first", func(t *testing.T) {
+		s := newScheduler(1)
+		s.Enqueue(start, items("wide", 20))
+		s.Enqueue(start, items("narrow", 1))
+		must.Eq(t, specifier.NewJobID("t", "narrow"), s.Dispatch(start)[0].Item.Key.Job)
+	})
+	t.Run("few tasks before the first answer", func(t *testing.T) {
+		// Guards against a black-hole worker that takes a whole wide job at once.
+		s := newScheduler(1)
+		s.Enqueue(start, items("j", 8))
+		mustDispatch(t, s, start, paceTasks)
+		mustDispatch(t, s, start.Add(paceInterval/2), 0)
+		mustDispatch(t, s, start.Add(paceInterval), paceTasks)
+	})
+	t.Run("nothing to an agent that is draining, unlinked or without slots", func(t *testing.T) {
+		s := newScheduler(3)
+		list := members(3)
+		list[1].State = specifier.Draining
+		s.SetMembers(start, list)
+		s.SetLinked(start, list[2].Identity, false)
+		s.Reported(start, list[3].Identity, specifier.Load{})
+		s.Enqueue(start, items("j", 4))
+		mustDispatch(t, s, start, 0)
+	})
+	t.Run("an agent that is never heard of gets work again", func(t *testing.T) {
+		// Guards against an entry that believes an agent full for ever.
+		s := newScheduler(1)
+		s.Reported(start, members(1)[1].Identity, specifier.Load{Slots: 8, Running: 8, Queued: 3})
+		s.Enqueue(start, items("j", 1))
+		mustDispatch(t, s, start, 0)
+		mustDispatch(t, s, start.Add(time.Second), 1)
+	})
+	t.Run("tasks of lost agents are returned once, in order", func(t *testing.T) {
+		s := newScheduler(2)
+		s.Enqueue(start, items("j", 4))
+		mustDispatch(t, s, start, 4)
+		must.Len(t, 4, s.SetMembers(start, members(0)))
+		must.SliceEmpty(t, s.SetMembers(start, members(0)))
+	})
+	t.Run("work that cannot end in time is not started", func(t *testing.T) {
+		s := newScheduler(1)
+		s.Admit(start, specifier.Job{Deadline: start.Add(time.Hour)}, specifier.Profile{Name: "p", Service: "s", TypicalTime: time.Second})
+		late := items("j", 2)
+		for i := range late {
+			late[i].Deadline = start.Add(400 * time.Millisecond)
+		}
+		s.Enqueue(start, late)
+		mustDispatch(t, s, start, 0)
+		must.Eq(t, 0, s.queued())
+	})
+	t.Run("a refused task comes back after a delay", func(t *testing.T) {
+		s := newScheduler(1)
+		s.Enqueue(start, items("j", 1))
+		sent := mustDispatch(t, s, start, 1)[0]
+		s.Refused(start, sent.Agent, sent.Item.Key)
+		mustDispatch(t, s, start, 0)
+		must.False(t, s.Next().IsZero())
+		mustDispatch(t, s, start.Add(time.Second), 1)
+	})
+}
+
+func TestLongWork(t *testing.T) {
+	// Guards against long tasks in every slot of a worker or zone.
+	s := newScheduler(6)
+	s.Admit(start, specifier.Job{Deadline: start.Add(time.Hour)}, specifier.Profile{Name: "long", Service: "s", TypicalTime: time.Minute})
+	s.Enqueue(start, items("short", 1))
+	long := items("long", 200)
+	for i := range long {
+		long[i].Profile = "long"
+	}
+	s.Enqueue(start, long)
+	for i := range 100 {
+		s.Dispatch(start.Add(time.Duration(i) * paceInterval))
+	}
+	for _, agent := range s.pools["s"].agents {
+		must.LessEq(t, 4, agent.long)
+	}
+	for _, zone := range s.pools["s"].zones {
+		must.LessEq(t, 8, zone.long)
+	}
+}
+
+// TestForget guards against tasks of cancelled jobs that are still sent, and against counts that drift.
+func TestForget(t *testing.T) {
+	s := newScheduler(2)
+	for i := range 1000 {
+		s.Enqueue(start, items(fmt.Sprint(i), 3))
+	}
+	s.Dispatch(start)
+	for i := range 1000 {
+		s.Forget(specifier.NewJobID("t", fmt.Sprint(i)))
+	}
+	mustDispatch(t, s, start.Add(time.Second), 0)
+	pool := s.pools["s"]
+	must.Eq(t, 0, pool.held)
+	must.Eq(t, 0, pool.work[free])
+	must.LessEq(t, 64, pool.waiting[free].Len())
+	must.MapEmpty(t, s.jobs)
+}
+
+// TestEngineProperties guards against a task that is sent twice without a refusal, and against agents that are sent
+// more than their slots and the look-ahead.
+func TestEngineProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now, jobs := newScheduler(3), start, 0
+		out := map[specifier.TaskKey]specifier.Identity{}
+		var order []specifier.TaskKey
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				jobs++
+				s.Enqueue(now, items(fmt.Sprint(jobs), rapid.IntRange(1, 30).Draw(t, "tasks")))
+			},
+			"dispatch": func(t *rapid.T) {
+				for _, sent := range s.Dispatch(now) {
+					must.MapNotContainsKey(t, out, sent.Item.Key)
+					out[sent.Item.Key] = sent.Agent
+					order = append(order, sent.Item.Key)
+				}
+			},
+			"answer": func(t *rapid.T) {
+				if len(order) == 0 {
+					return
+				}
+				key := order[0]
+				order = order[1:]
+				id := out[key]
+				if rapid.Bool().Draw(t, "refused") {
+					delete(out, key)
+					s.Refused(now, id, key)
+				} else {
+					s.Done(now, id, key, rapid.Bool().Draw(t, "ok"), time.Second)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				for _, agent := range s.pools["s"].agents {
+					must.LessEq(t, agent.member.Slots+lookAhead, len(agent.held))
+				}
+			},
+		})
+	})
+}
+
+// TestPlacementAllocates guards against allocation on the hot path: a task that ends and the next that is sent.
+func TestPlacementAllocates(t *testing.T) {
+	s := newScheduler(11)
+	cycle := steady(s, 11)
+	must.Less(t, 0.1, testing.AllocsPerRun(2000, cycle))
+}
+
+// steady fills the agents and returns a function that ends one task, and queues and places another, at the rate of
+// tasks of 0.6 s on all slots.
+func steady(s *Scheduler, agents int) func() {
+	now, slots := start, agents*8
+	for i := range 40 {
+		s.Enqueue(now, items(fmt.Sprint(i), 250))
+	}
+	held := &collector.Queue[Assignment]{}
+	place := func() {
+		for _, sent := range s.Dispatch(now) {
+			held.Push(sent)
+		}
+	}
+	for held.Len() < slots*3/4 {
+		place()
+		now = now.Add(paceInterval)
+	}
+	again := make([]Item, 1)
+	return func() {
+		now = now.Add(600 * time.Millisecond / time.Duration(slots))
+		if ended, ok := held.Pop(); ok {
+			s.Reported(now, ended.Agent, specifier.Load{Slots: 8, Running: 6})
+			s.Done(now, ended.Agent, ended.Item.Key, true, 500*time.Millisecond)
+			again[0] = ended.Item
+			s.Enqueue(now, again)
+		}
+		place()
+	}
+}
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, agents := range []int{11, 110, 940} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			cycle := steady(newScheduler(agents), agents)
+			b.ReportAllocs()
+			for b.Loop() {
+				cycle()
+			}
+		})
+	}
+}
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"oleandertally/core/specifier"
-)
+import "time"
 
 // job is what the scheduler knows of one job with tasks that wait or are held by agents.
 type job struct {
@@ -13,13 +9,21 @@
 	waiting   [lanes]int
 	pool      *pool
 	work      [lanes]time.Duration // expected run time of the waiting tasks
-	sent      []sent               // including tasks that have ended
-	held      int
-	delayed   int // tasks that are queued again later
+	sent      []*held              // the tasks that agents hold
+	delayed   int                  // tasks that are queued again later
+}
+
+// note adds a task that was sent.
+func (j *job) note(task *held) {
+	task.at = len(j.sent)
+	j.sent = append(j.sent, task)
 }
 
-// sent is a task that was sent to an agent.
-type sent struct {
-	agent *agent
-	key   specifier.TaskKey
+// ended removes a task; the last one takes its place.
+func (j *job) ended(task *held) {
+	last := len(j.sent) - 1
+	j.sent[task.at] = j.sent[last]
+	j.sent[task.at].at = task.at
+	j.sent[last] = nil
+	j.sent = j.sent[:last]
 }
--- a/dispatch/scheduler/membership.go
+++ b/dispatch/scheduler/membership.go
@@ -41,7 +41,7 @@
 	old := e.agents[member.Identity]
 	if old == nil {
 		pool := e.pool(member.Service)
-		old = &agent{pool: pool, zone: pool.zone(member.Zone), held: make(map[specifier.TaskKey]held),
+		old = &agent{pool: pool, zone: pool.zone(member.Zone), held: make(map[specifier.TaskKey]*held),
 			load: specifier.Load{Slots: member.Slots}, reportedAt: now}
 		old.member = member
 		e.agents[member.Identity] = old
@@ -64,7 +64,9 @@
 	delete(e.agents, gone.member.Identity)
 	lost := heldBy(gone)
 	for _, each := range lost {
-		e.release(gone, each.Item.Key)
+		if task, ok := e.release(gone, each.Item.Key); ok {
+			e.recycle(task)
+		}
 	}
 	return lost
 }
