Run the agent's queue with the dispatch policies

Change: the executor holds orderer.Queue, learns run time classes and reports its load to entries that are far off; the coordinator passes teams and its zone to the scheduler.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -7,6 +7,7 @@
 	"oleandertally/core/collector"
 	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/classifier"
 	"oleandertally/dispatch/orderer"
 )
 
@@ -19,14 +20,15 @@
 	HeldBytes int
 
 	jobs     map[specifier.JobID]*holding
-	queue    collector.Heap[*record]
+	queue    orderer.Queue
+	learned  classifier.Classifier
+	reports  orderer.Reporter[specifier.Identity]
+	profiles map[string]specifier.Profile
 	expiring collector.Heap[expiry]
 	links    map[specifier.Identity]uint64
 	upstream netip.AddrPort
 	slots    int       // 0 while the upstream is absent
 	lapse    time.Time // when the upstream's announcement ends
-	running  int
-	queued   int
 	held     int
 	lease    time.Time
 	now      time.Time // of the present step
@@ -40,7 +42,6 @@
 		QueueBound: queueBound,
 		HeldBytes:  heldBytes,
 		jobs:       make(map[specifier.JobID]*holding),
-		queue:      collector.Heap[*record]{Less: startsBefore},
 		expiring:   collector.Heap[expiry]{Less: expiry.less},
 		links:      make(map[specifier.Identity]uint64),
 	}
@@ -52,10 +53,12 @@
 	switch event := event.(type) {
 	case Linked:
 		x.links[event.Entry] = event.Link
+		x.reports.Add(now, event.Entry, x.Load())
 		x.out = append(x.out, Greet{Entry: event.Entry, Load: x.Load()})
 	case Unlinked:
 		if x.links[event.Entry] == event.Link {
 			delete(x.links, event.Entry)
+			x.reports.Remove(event.Entry)
 		}
 	case Assigned:
 		x.assigned(now, event)
@@ -73,8 +76,12 @@
 		x.leaseRenewed(now, event.Until)
 	case Draining:
 		x.drain(event.On)
+	case Configured:
+		x.profiles = event.Profiles
+		x.queue.LongShare = longShare(event.Profiles)
 	}
 	x.start(now)
+	x.reportLoad(now)
 	return x.out
 }
 
@@ -87,15 +94,19 @@
 	if !x.lapse.After(now) {
 		x.upstreamDown()
 	}
+	for _, late := range x.queue.Expire(now) {
+		x.dropTask(late.TaskKey(), Late)
+	}
 	for {
 		next, ok := x.expiring.Peek()
 		if !ok || next.at.After(now) {
 			break
 		}
 		x.expiring.Pop()
-		x.expire(now, next)
+		x.expire(now, next.job)
 	}
 	x.start(now)
+	x.reportLoad(now)
 	return x.out
 }
 
@@ -110,8 +121,11 @@
 	if first, ok := x.expiring.Peek(); ok {
 		sooner(first.at)
 	}
-	if x.queued > 0 {
+	if x.queue.Len() > 0 {
 		sooner(x.lease)
+		if at := x.queue.Next(); !at.IsZero() {
+			sooner(at)
+		}
 	}
 	if x.slots > 0 {
 		sooner(x.lapse)
@@ -134,11 +148,11 @@
 	if x.draining || !x.leased(x.now) {
 		slots = 0
 	}
-	return specifier.Load{Slots: slots, Running: x.running, Queued: x.queued}
+	return specifier.Load{Slots: slots, Running: x.queue.Running(), Queued: x.queue.Len()}
 }
 
 // Idle reports whether nothing is queued or running.
-func (x *Executor) Idle() bool { return x.queued == 0 && x.running == 0 }
+func (x *Executor) Idle() bool { return x.queue.Len() == 0 && x.queue.Running() == 0 }
 
 func (x *Executor) assigned(now time.Time, e Assigned) {
 	if x.links[e.Entry] != e.Link {
@@ -161,11 +175,10 @@
 	}
 	job = x.hold(e.Key.Job, e.Epoch, e.Entry, e.Deadline)
 	task := &record{key: e.Key, epoch: e.Epoch, state: specifier.TaskQueued, payload: e.Payload,
-		order: e.Order, deadline: e.Deadline, queued: now}
+		profile: e.Profile, deadline: e.Deadline, queued: now}
 	job.tasks[e.Key.Task] = task
-	x.queue.Push(task)
-	x.queued++
-	x.expiring.Push(expiry{at: e.Deadline, key: e.Key})
+	x.queue.Push(now, orderer.Entry{Key: orderer.Key{At: e.Order, Job: e.Key.Job, Task: e.Key.Task}, Deadline: e.Deadline,
+		Class: x.learned.Class(e.Profile, x.profiles[e.Profile].TypicalTime), Profile: e.Profile})
 	x.note(recorder.TaskQueued, task, e.Entry.Name, "")
 }
 
@@ -188,7 +201,7 @@
 		return NoLease
 	case !e.Deadline.After(now):
 		return Late
-	case x.queued >= x.QueueBound || x.held >= x.HeldBytes:
+	case x.queue.Len() >= x.QueueBound || x.held >= x.HeldBytes:
 		return Full
 	}
 	return ""
@@ -199,7 +212,9 @@
 	if x.links[e.Entry] != e.Link || job == nil || e.Epoch < job.epoch {
 		return
 	}
-	x.dropQueued(job, Withdraw)
+	for _, entry := range x.queue.Remove(e.Job) {
+		x.dropTask(entry.TaskKey(), Withdraw)
+	}
 }
 
 func (x *Executor) fenced(now time.Time, e Fenced) {
@@ -208,9 +223,7 @@
 	}
 	job := x.jobs[e.Job]
 	if job == nil || e.Epoch > job.epoch {
-		if job != nil {
-			x.dropSilently(job)
-		}
+		x.dropSilently(e.Job)
 		job = x.hold(e.Job, e.Epoch, e.Entry, e.Deadline)
 		x.out = append(x.out, Note{recorder.Event{Kind: recorder.JobFenced, Job: e.Job, Epoch: e.Epoch, Other: e.Entry.Name}})
 	}
@@ -227,7 +240,7 @@
 	job.owner, job.epoch = owner, epoch
 	if keep := deadline.Add(specifier.KeyRetention); keep.After(job.keep) {
 		job.keep = keep
-		x.expiring.Push(expiry{at: keep, key: specifier.TaskKey{Job: id}})
+		x.expiring.Push(expiry{at: keep, job: id})
 	}
 	return job
 }
@@ -264,7 +277,7 @@
 }
 
 func (x *Executor) runEnded(now time.Time, e RunEnded) {
-	x.running--
+	x.queue.Done(now, e.Key)
 	job := x.jobs[e.Key.Job]
 	if job == nil {
 		return
@@ -286,56 +299,56 @@
 	}
 	task.body, task.detail, task.runTime = e.Body, e.Detail, now.Sub(task.started)
 	x.held += len(e.Body)
+	if !e.Broken {
+		x.learned.Record(task.profile, task.runTime)
+	}
 	x.note(recorder.TaskEnded, task, job.owner.Name, e.Detail)
+	x.reports.Ended()
+	x.start(now) // first, so that the load in the answer counts what now runs in the free slot
 	x.tell(job, task)
 }
 
 // start runs queued tasks in the free slots.
 func (x *Executor) start(now time.Time) {
-	for x.running < x.slots && x.queued > 0 && x.leased(now) {
-		task, ok := x.queue.Pop()
-		if !ok {
-			return
-		}
-		if task.state != specifier.TaskQueued || x.jobs[task.key.Job] == nil {
-			continue
-		}
-		x.queued--
-		if !task.deadline.After(now) {
-			x.dropTask(x.jobs[task.key.Job], task, Late)
-			continue
-		}
+	if !x.leased(now) || x.slots == 0 {
+		return
+	}
+	x.queue.SetSlots(x.slots)
+	for _, late := range x.queue.Expire(now) {
+		x.dropTask(late.TaskKey(), Late)
+	}
+	for _, entry := range x.queue.Start(now) {
+		job := x.jobs[entry.Key.Job]
+		task := job.tasks[entry.Key.Task]
 		task.state, task.started, task.waited = specifier.TaskRunning, now, now.Sub(task.queued)
-		x.running++
-		x.note(recorder.TaskStarted, task, x.jobs[task.key.Job].owner.Name, "")
+		x.note(recorder.TaskStarted, task, job.owner.Name, "")
 		x.out = append(x.out, Run{Addr: x.upstream, Key: task.key, Epoch: task.epoch, Payload: task.payload, Deadline: task.deadline})
 		task.payload = nil
 	}
 }
 
-func (x *Executor) expire(now time.Time, e expiry) {
-	job := x.jobs[e.key.Job]
-	if job == nil {
+// reportLoad tells the entries whose view of this agent is far off.
+func (x *Executor) reportLoad(now time.Time) {
+	load := x.Load()
+	for _, entry := range x.reports.Due(now, load) {
+		x.out = append(x.out, Greet{Entry: entry, Load: load})
+	}
+}
+
+func (x *Executor) expire(now time.Time, id specifier.JobID) {
+	job := x.jobs[id]
+	if job == nil || job.keep.After(now) {
 		return
 	}
-	if task := job.tasks[e.key.Task]; task != nil {
-		if task.state == specifier.TaskQueued && !task.deadline.After(now) {
-			x.queued--
-			x.dropTask(job, task, Late)
-		}
+	if x.busy(job) {
+		// A task that outlives its record's time keeps the record, so that it is not started again.
+		x.expiring.Push(expiry{at: now.Add(time.Minute), job: id})
 		return
 	}
-	if e.key.Task == "" && !job.keep.After(now) {
-		if x.busy(job) {
-			// A task that outlives its record's time keeps the record, so that it is not started again.
-			x.expiring.Push(expiry{at: now.Add(time.Minute), key: e.key})
-			return
-		}
-		for _, task := range job.tasks {
-			x.held -= len(task.body)
-		}
-		delete(x.jobs, e.key.Job)
+	for _, task := range job.tasks {
+		x.held -= len(task.body)
 	}
+	delete(x.jobs, id)
 }
 
 // busy reports whether a task of the job still runs; its record is then kept until it ends.
@@ -351,42 +364,24 @@
 func (x *Executor) leased(now time.Time) bool { return now.Before(x.lease) }
 
 func (x *Executor) refuseQueued(cause Cause) {
-	for x.queued > 0 {
-		task, ok := x.queue.Pop()
-		if !ok {
-			return
-		}
-		if job := x.jobs[task.key.Job]; job != nil && task.state == specifier.TaskQueued {
-			x.queued--
-			x.dropTask(job, task, cause)
-		}
-	}
-}
-
-func (x *Executor) dropQueued(job *holding, cause Cause) {
-	for _, report := range job.reports() {
-		if task := job.tasks[report.Task]; task.state == specifier.TaskQueued {
-			x.queued--
-			x.dropTask(job, task, cause)
-		}
+	for _, entry := range x.queue.Clear() {
+		x.dropTask(entry.TaskKey(), cause)
 	}
 }
 
-// dropSilently drops what has not started without telling the owner, who has been replaced.
-func (x *Executor) dropSilently(job *holding) {
-	for _, report := range job.reports() {
-		if task := job.tasks[report.Task]; task.state == specifier.TaskQueued {
-			x.queued--
-			task.state = ""
-			delete(job.tasks, report.Task)
-		}
+// dropSilently drops what has not started of a job whose owner has been replaced.
+func (x *Executor) dropSilently(id specifier.JobID) {
+	for _, entry := range x.queue.Remove(id) {
+		delete(x.jobs[id].tasks, entry.Key.Task)
 	}
 }
 
-func (x *Executor) dropTask(job *holding, task *record, cause Cause) {
-	task.state = ""
-	delete(job.tasks, task.key.Task)
-	x.out = append(x.out, Refused{Entry: job.owner, Key: task.key, Epoch: job.epoch, Cause: cause, Load: x.Load()})
+// dropTask refuses a task that the queue no longer holds.
+func (x *Executor) dropTask(key specifier.TaskKey, cause Cause) {
+	job := x.jobs[key.Job]
+	task := job.tasks[key.Task]
+	delete(job.tasks, key.Task)
+	x.out = append(x.out, Refused{Entry: job.owner, Key: key, Epoch: job.epoch, Cause: cause, Load: x.Load()})
 	x.note(recorder.TaskRefused, task, job.owner.Name, string(cause))
 }
 
@@ -403,6 +398,14 @@
 	x.out = append(x.out, Note{recorder.Event{Kind: kind, Job: task.key.Job, Task: task.key.Task, Epoch: task.epoch, Other: other, Detail: detail}})
 }
 
-func startsBefore(a, b *record) bool {
-	return orderer.Key{At: a.order, Job: a.key.Job, Task: a.key.Task}.Less(orderer.Key{At: b.order, Job: b.key.Job, Task: b.key.Task})
+// longShare returns the smallest share that a profile sets: the slots are shared by all profiles of
+// the upstream.
+func longShare(profiles map[string]specifier.Profile) float64 {
+	share := 0.0
+	for _, profile := range profiles {
+		if profile.LongShare > 0 && (share == 0 || profile.LongShare < share) {
+			share = profile.LongShare
+		}
+	}
+	return share
 }
--- a/agent/executor/record.go
+++ b/agent/executor/record.go
@@ -12,7 +12,7 @@
 	epoch    specifier.Epoch
 	state    specifier.TaskState
 	payload  []byte // until started
-	order    time.Time
+	profile  string
 	deadline time.Time
 	queued   time.Time
 	started  time.Time
--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -146,6 +146,9 @@
 	if !notice.Until.IsZero() {
 		events = append(events, executor.Leased{Until: notice.Until})
 	}
+	if notice.Configuration != nil {
+		events = append(events, executor.Configured{Profiles: notice.Configuration.Profiles})
+	}
 	for _, member := range notice.Members {
 		if member.Identity == notice.Self {
 			events = append(events, executor.Draining{On: member.State == specifier.Draining})
--- a/dispatch/orderer/queue.go
+++ b/dispatch/orderer/queue.go
@@ -112,6 +112,9 @@
 	return q.drop(func(entry Entry) bool { return !entry.Deadline.IsZero() && !now.Before(entry.Deadline) })
 }
 
+// Clear drops every waiting task and returns them.
+func (q *Queue) Clear() []Entry { return q.drop(func(Entry) bool { return true }) }
+
 // Next returns the earliest time at which Expire or Start may have something to do though no event
 // came, or the zero time.
 func (q *Queue) Next() time.Time {
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -308,6 +308,7 @@
 		return // an older configuration never replaces a newer one
 	}
 	c.configuration = configuration
+	c.Scheduler.SetTeams(now, configuration.Teams)
 	for _, job := range c.sorted(func(j *job) bool { return j.phase == stale }) {
 		c.reviewStale(now, job)
 	}
--- a/entry/coordinator/world_test.go
+++ b/entry/coordinator/world_test.go
@@ -34,6 +34,7 @@
 	entries []*entryNode
 	agents  []*agentNode
 	links   map[string]*linkPair
+	stuck   int    // ticks in a row that did not move the clock
 	last    uint64 // of links, waiters, incarnations
 	events  []recorder.Event
 	counts  map[string]uint64
@@ -415,6 +416,23 @@
 			target = maxTime(next, w.now)
 		}
 	}
+	if target.Equal(w.now) {
+		w.stuck++
+		if w.stuck > 2000 {
+			for _, e := range w.entries {
+				if next := e.machine.Next(); e.alive && !next.IsZero() && !next.After(w.now) {
+					w.t.Fatalf("%s is due at %v, now %v, and makes no progress: scheduler %v", e.id, next, w.now, e.machine.Scheduler.Next())
+				}
+			}
+			for _, a := range w.agents {
+				if next := a.machine.Next(); a.alive && !next.IsZero() && !next.After(w.now) {
+					w.t.Fatalf("%s is due at %v, now %v, and makes no progress", a.id, next, w.now)
+				}
+			}
+		}
+	} else {
+		w.stuck = 0
+	}
 	w.now = target
 	for _, e := range w.entries {
 		if next := e.machine.Next(); e.alive && !next.IsZero() && !next.After(w.now) {
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -80,7 +80,7 @@
 	e.self.Store(&identity)
 	e.mailbox = mailer.NewMailbox[coordinator.Event](mailboxSize)
 	e.waiters = &answerer.Waiters{}
-	e.coordinator = coordinator.New(maxJobs, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), &scheduler.Scheduler{})
+	e.coordinator = coordinator.New(maxJobs, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), &scheduler.Scheduler{Zone: e.Zone, Seed: rand.Uint64()})
 	pool := &dialer.Pool{Credentials: e.Credentials}
 	defer pool.Close()
 
