--- a/dispatch/scheduler/delayed.go
+++ b/dispatch/scheduler/delayed.go
@@ -4,15 +4,13 @@
 
 // delayed is a task that is queued again later.
 type delayed struct {
-	at       time.Time
-	item     Item
-	attempts int
-	job      *job
+	at   time.Time
+	task *task
 }
 
 func (d delayed) before(other delayed) bool {
 	if !d.at.Equal(other.at) {
 		return d.at.Before(other.at)
 	}
-	return d.item.Order.Less(other.item.Order)
+	return d.task.item.Order.Less(other.task.item.Order)
 }
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -41,7 +41,7 @@
 	refreshed  time.Time
 	sentAt     time.Time
 	paced      []*agent // sent paceTasks tasks lately, oldest first
-	spare      []*held
+	spare      []*task
 	sending    []Assignment // the buffer that Dispatch returns
 }
 
@@ -105,7 +105,8 @@
 func (e *Engine[P, T]) push(job *job, item Item, attempts int) lane {
 	typical := e.profiles[item.Profile].TypicalTime
 	kind := laneOf(e.classifier.Class(item.Profile, typical))
-	next := waiting{item: item, job: job, lane: kind, attempts: attempts, expected: e.classifier.Mean(item.Profile, typical)}
+	next := e.allocate()
+	*next = task{item: item, job: job, lane: kind, attempts: attempts, expected: e.classifier.Mean(item.Profile, typical)}
 	job.pool.count(next, 1)
 	job.pool.waiting[kind].Push(next)
 	return kind
@@ -144,7 +145,7 @@
 }
 
 // send places the first task of a lane.
-func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
+func (e *Engine[P, T]) send(now time.Time, pool *pool, next *task) bool {
 	rule := e.rule(now)
 	rule.patient = next.lane == limited || next.item.Order.At.Sub(now) > urgentWithin
 	if next.late(now) {
@@ -157,10 +158,10 @@
 	}
 	pool.waiting[next.lane].Pop()
 	pool.count(next, -1)
-	task := e.allocate()
-	*task = held{item: next.item, agent: agent, lane: next.lane, sent: now, attempts: next.attempts + 1, job: next.job}
-	agent.held[next.item.Key] = task
-	next.job.note(task)
+	next.agent, next.sent = agent, now
+	next.attempts++
+	agent.held[next.item.Key] = next
+	next.job.note(next)
 	pool.held++
 	pool.limiter.Held(next.item.Team, 1)
 	pool.short.observe(now, pool.held-pool.long)
@@ -214,23 +215,24 @@
 	agent.refusedUntil = now.Add(refusalPause)
 	if task, ok := e.release(agent, key); ok {
 		e.requeue(now, task)
-		e.recycle(task)
 	}
 	e.update(now, agent)
 }
 
 // requeue queues a task that is proved not started. One that could only come back past its deadline is dropped: the
 // coordinator ends its job at the deadline.
-func (e *Engine[P, T]) requeue(now time.Time, task *held) {
+func (e *Engine[P, T]) requeue(now time.Time, task *task) {
 	attempt := retrier.Attempt{Profile: task.item.Profile, Cause: retrier.NotStarted, Count: task.attempts, Deadline: task.item.Deadline}
 	at, ok := e.retrier.Plan(now, attempt)
 	if !ok {
+		e.recycle(task)
 		return
 	}
 	job := e.job(task.item.Key.Job, e.pool(task.item.Service))
 	job.team = task.item.Team
 	job.delayed++
-	e.delayed.Push(delayed{at: at, item: task.item, attempts: task.attempts, job: job})
+	task.job = job
+	e.delayed.Push(delayed{at: at, task: task})
 }
 
 // wake queues the delayed tasks whose time has come.
@@ -241,15 +243,16 @@
 			return
 		}
 		e.delayed.Pop()
-		next.job.delayed--
-		if !next.job.forgotten {
-			e.push(next.job, next.item, next.attempts)
+		next.task.job.delayed--
+		if !next.task.job.forgotten {
+			e.push(next.task.job, next.task.item, next.task.attempts)
 		}
+		e.recycle(next.task)
 	}
 }
 
 // release takes a task off an agent.
-func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (*held, bool) {
+func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (*task, bool) {
 	task, ok := agent.held[key]
 	if !ok {
 		return nil, false
@@ -267,21 +270,20 @@
 	return task, true
 }
 
-// allocate returns a record for a task that is sent, one of those that were recycled if there is any: the values of
-// the map are too large to be stored in it.
-func (e *Engine[P, T]) allocate() *held {
+// allocate returns a record for a task, one of those that were recycled if there is any.
+func (e *Engine[P, T]) allocate() *task {
 	last := len(e.spare) - 1
 	if last < 0 {
-		return &held{}
+		return &task{}
 	}
-	task := e.spare[last]
+	spare := e.spare[last]
 	e.spare = e.spare[:last]
-	return task
+	return spare
 }
 
-func (e *Engine[P, T]) recycle(task *held) {
-	*task = held{}
-	e.spare = append(e.spare, task)
+func (e *Engine[P, T]) recycle(done *task) {
+	*done = task{}
+	e.spare = append(e.spare, done)
 }
 
 // Reported notes the load that an agent reported.
--- a/dispatch/scheduler/health.go
+++ b/dispatch/scheduler/health.go
@@ -21,7 +21,7 @@
 }
 
 // judge notes how a task ended on an agent.
-func (e *Engine[P, T]) judge(now time.Time, agent *agent, task *held, ok bool, runTime time.Duration) {
+func (e *Engine[P, T]) judge(now time.Time, agent *agent, task *task, ok bool, runTime time.Duration) {
 	profile := e.profiles[task.item.Profile]
 	outcome := ejector.Outcome{Job: task.item.Key.Job, OK: ok, Sent: task.sent, RunTime: runTime,
 		Expected: e.classifier.Mean(task.item.Profile, profile.TypicalTime), Threshold: profile.BreakerAfter}
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -9,18 +9,18 @@
 	waiting   [lanes]int
 	pool      *pool
 	work      [lanes]time.Duration // expected run time of the waiting tasks
-	sent      []*held              // the tasks that agents hold
+	sent      []*task              // the tasks that agents hold
 	delayed   int                  // tasks that are queued again later
 }
 
 // note adds a task that was sent.
-func (j *job) note(task *held) {
+func (j *job) note(task *task) {
 	task.at = len(j.sent)
 	j.sent = append(j.sent, task)
 }
 
 // ended removes a task; the last one takes its place.
-func (j *job) ended(task *held) {
+func (j *job) ended(task *task) {
 	last := len(j.sent) - 1
 	j.sent[task.at] = j.sent[last]
 	j.sent[task.at].at = task.at
--- a/dispatch/scheduler/membership.go
+++ b/dispatch/scheduler/membership.go
@@ -41,7 +41,7 @@
 	old := e.agents[member.Identity]
 	if old == nil {
 		pool := e.pool(member.Service)
-		old = &agent{pool: pool, zone: pool.zone(member.Zone), held: make(map[specifier.TaskKey]*held),
+		old = &agent{pool: pool, zone: pool.zone(member.Zone), held: make(map[specifier.TaskKey]*task),
 			load: specifier.Load{Slots: member.Slots}, reportedAt: now}
 		old.member = member
 		e.agents[member.Identity] = old
--- a/dispatch/scheduler/pool.go
+++ b/dispatch/scheduler/pool.go
@@ -13,7 +13,7 @@
 type pool struct {
 	zones   []*zone  // by name
 	agents  []*agent // by identity
-	waiting [lanes]collector.Heap[waiting]
+	waiting [lanes]collector.Heap[*task]
 	queued  [lanes]int           // without those of forgotten jobs
 	work    [lanes]time.Duration // expected run time of the queued tasks
 	held    int                  // tasks that agents hold for this entry
@@ -22,31 +22,16 @@
 	limiter limiter.Limiter
 }
 
-// waiting is an item in a heap. Forgetting a job only marks it; its items are skipped when they come up.
-type waiting struct {
-	item     Item
-	job      *job
-	attempts int
-	lane     lane
-	expected time.Duration // run time
-}
-
-// late reports whether the task can hardly end before its deadline: half of the tasks of most profiles run
-// for less than their mean, so half of the mean must fit.
-func (w waiting) late(now time.Time) bool {
-	return !w.item.Deadline.IsZero() && w.item.Deadline.Sub(now) < w.expected/2
-}
-
 func newPool() *pool {
 	p := &pool{}
 	for i := range p.waiting {
-		p.waiting[i].Less = func(a, b waiting) bool { return a.item.Order.Less(b.item.Order) }
+		p.waiting[i].Less = func(a, b *task) bool { return a.item.Order.Less(b.item.Order) }
 	}
 	return p
 }
 
 // count adds or removes a waiting task in the totals.
-func (p *pool) count(task waiting, change int) {
+func (p *pool) count(task *task, change int) {
 	p.queued[task.lane] += change
 	p.work[task.lane] += time.Duration(change) * task.expected
 	task.job.waiting[task.lane] += change
@@ -68,7 +53,7 @@
 }
 
 // peek returns the first task of a lane whose job is not forgotten.
-func (p *pool) peek(kind lane) (waiting, bool) {
+func (p *pool) peek(kind lane) (*task, bool) {
 	heap := &p.waiting[kind]
 	for {
 		first, ok := heap.Peek()
@@ -84,6 +69,6 @@
 func (p *pool) compact(kind lane) {
 	heap := &p.waiting[kind]
 	if heap.Len() > 64 && heap.Len() > 2*p.queued[kind] {
-		heap.Filter(func(w waiting) bool { return !w.job.forgotten })
+		heap.Filter(func(t *task) bool { return !t.job.forgotten })
 	}
 }
--- a/replay/play.go
+++ b/replay/play.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -48,14 +49,14 @@
 
 // Execute plays the traces.
 func (c *playCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if err := c.run(); err != nil {
+	if err := c.run(os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *playCommand) run() error {
+func (c *playCommand) run(to io.Writer) error {
 	names, err := regexp.Compile(c.traces)
 	if err != nil {
 		return errors.Wrap(err, "-traces")
@@ -72,7 +73,7 @@
 		if !names.MatchString(trace.Name) {
 			continue
 		}
-		if err := compare(trace, wanted); err != nil {
+		if err := compare(to, trace, wanted); err != nil {
 			return err
 		}
 	}
@@ -109,7 +110,7 @@
 }
 
 // compare prints the table of one trace.
-func compare(trace tracer.Trace, wanted *regexp.Regexp) error {
+func compare(to io.Writer, trace tracer.Trace, wanted *regexp.Regexp) error {
 	var rows []reporter.Summary
 	for _, variant := range variants() {
 		if !wanted.MatchString(variant.Name) {
@@ -124,5 +125,5 @@
 	rows = append(rows, reporter.Summarize("one queue, run times known", trace, player.Bound(trace)))
 	title := fmt.Sprintf("%s: %d jobs in %v, demand %.2f, %d entries, seed %d", trace.Name, len(trace.Jobs),
 		trace.Length(), trace.Demand, trace.Entries, trace.Seed)
-	return reporter.Print(os.Stdout, title, rows)
+	return reporter.Print(to, title, rows)
 }
--- a/replay/player/player.go
+++ b/replay/player/player.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	workers = 11
-	slots   = 8
-	zones   = 3
+	workers = tracer.Workers
+	slots   = tracer.Slots / workers
+	zones   = tracer.Zones
 	service = "reservas"
 
 	callerDelay = 3 * time.Millisecond    // one way between caller and entry
--- a/replay/tracer/catalog.go
+++ b/replay/tracer/catalog.go
@@ -15,6 +15,7 @@
 	for _, percent := range []int{80, 100, 150, 200, 400} {
 		traces = append(traces, c.steady(fmt.Sprintf("demand-%d", percent), float64(percent)/100))
 	}
+	traces = append(traces, c.entries(2), c.entries(4))
 	return append(traces, c.burst(), c.shortBehindLong(), c.declared("declared-short", 60), c.declared("declared-long", 6000),
 		c.faulty("black-hole", Fault{Kind: BlackHole, Worker: 4}),
 		c.faulty("straggler", Fault{Kind: Straggler, Worker: 4, Factor: 5}),
@@ -39,6 +40,13 @@
 	return c.trace(name, demand, NewGenerator(c.seed, 3).Arrivals(0, c.length, demand))
 }
 
+// entries is the load at 80% with another number of entries.
+func (c catalog) entries(count int) Trace {
+	trace := c.trace(fmt.Sprintf("entries-%d", count), 0.8, NewGenerator(c.seed, count).Arrivals(0, c.length, 0.8))
+	trace.Entries = count
+	return trace
+}
+
 // burst is ten times the base demand within one second.
 func (c catalog) burst() Trace {
 	g := NewGenerator(c.seed, 3)
--- a/replay/tracer/read.go
+++ b/replay/tracer/read.go
@@ -68,6 +68,11 @@
 	case t.LengthMillis < 1 || t.LengthMillis > maxMillis:
 		return errors.Newf("LengthMillis: is %d, expected 1 to %d", t.LengthMillis, maxMillis)
 	}
+	for i, fault := range t.Faults {
+		if err := fault.check(); err != nil {
+			return errors.Wrapf(err, "Faults[%d]", i)
+		}
+	}
 	return nil
 }
 
