--- a/replay/tracer/read.go
+++ b/replay/tracer/read.go
@@ -70,7 +70,7 @@
 	}
 	for i, fault := range t.Faults {
 		if err := fault.check(); err != nil {
-			return errors.Wrapf(err, "Faults[%d]", i)
+			return errors.Newf("Faults[%d].%w", i, err)
 		}
 	}
 	return nil
