--- a/dispatch/orderer/guard.go
+++ b/dispatch/orderer/guard.go
@@ -3,7 +3,7 @@
 import "time"
 
 // passOverShare is the share of a job's time left during which others may pass it over. Admission keeps the
-// waiting work within 0.3 of it, which leaves a part for the job itself.
+// waiting work within as much of it, which leaves a part for the job itself.
 const passOverShare = 0.4
 
 // Guard returns the key of a task with the given deadline, moved forward so that the task is not passed over
