Let profiles that have not run through admission

Cause: a profile declared ten times too long was refused each time, so it never ran and was never learned. Change: until a profile is learned, a task counts as at most a tenth of the job's time left.

--- a/dispatch/classifier/classifier.go
+++ b/dispatch/classifier/classifier.go
@@ -49,18 +49,24 @@
 	known.record(runTime)
 }
 
+// Learned reports whether the profile has run often enough for Class and Mean not to use the declared run time.
+func (c *Classifier) Learned(profile string) bool {
+	known := c.profiles[profile]
+	return known != nil && known.count() >= minSamples
+}
+
 // Class returns the class of a profile; typical is its declared run time.
 func (c *Classifier) Class(profile string, typical time.Duration) Class {
-	if known := c.profiles[profile]; known != nil && known.count() >= minSamples {
-		return known.class
+	if c.Learned(profile) {
+		return c.profiles[profile].class
 	}
 	return Of(typical)
 }
 
 // Mean returns the mean run time of a profile; typical is its declared run time.
 func (c *Classifier) Mean(profile string, typical time.Duration) time.Duration {
-	if known := c.profiles[profile]; known != nil && known.count() >= minSamples {
-		return known.mean
+	if c.Learned(profile) {
+		return c.profiles[profile].mean
 	}
 	return typical
 }
--- a/dispatch/scheduler/admission.go
+++ b/dispatch/scheduler/admission.go
@@ -20,8 +20,7 @@
 	if slots == 0 {
 		return &Refusal{Reason: specifier.NoWorker, Detail: "no worker serves " + profile.Service, RetryAfter: time.Second}
 	}
-	demand := e.demand(pool, job, profile, slots)
-	demand.TimeLeft = job.Deadline.Sub(now)
+	demand := e.demand(pool, job, profile, slots, job.Deadline.Sub(now))
 	if bound := profile.QueueBound; bound > 0 && demand.Queued+demand.Tasks > bound {
 		return &Refusal{Reason: specifier.Overloaded, Detail: "the queue of this entry is full", RetryAfter: time.Second}
 	}
@@ -49,8 +48,8 @@
 }
 
 // demand sets the job against the work of its own lane: short work does not wait for long work.
-func (e *Engine[P, T]) demand(pool *pool, job specifier.Job, profile specifier.Profile, slots int) admitter.Demand {
-	mean := e.classifier.Mean(profile.Name, profile.TypicalTime)
+func (e *Engine[P, T]) demand(pool *pool, job specifier.Job, profile specifier.Profile, slots int, left time.Duration) admitter.Demand {
+	mean := e.mean(profile.Name, left)
 	kind := laneOf(e.classifier.Class(profile.Name, profile.TypicalTime))
 	available := e.share(pool, slots)
 	if kind == limited {
@@ -59,7 +58,7 @@
 		available = max(available-float64(pool.long), 1)
 	}
 	return admitter.Demand{Waiting: pool.work[kind], Queued: pool.queued[free] + pool.queued[limited], Tasks: len(job.Tasks),
-		Slots: available, Work: time.Duration(len(job.Tasks)) * mean, Longest: mean}
+		Slots: available, Work: time.Duration(len(job.Tasks)) * mean, Longest: mean, TimeLeft: left}
 }
 
 // share returns the slots that this entry can count on: those that it uses and those believed to be free,
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -51,6 +51,8 @@
 	// refusalPause is how long an agent that refused a task gets none: its upstream is absent or it is draining, and
 	// the report or record of this is on its way.
 	refusalPause = 100 * time.Millisecond
+	// unlearnedShare of the time left lets a job of a profile that has not run through admission.
+	unlearnedShare = 0.1
 	// urgentWithin is how far ahead a key may lie to count as nearly due. A job of 10 tasks is so on arrival.
 	urgentWithin = time.Second
 	// lendAfter is how long no short work must have arrived before long work may take more than its share.
@@ -95,23 +97,33 @@
 		item.Order.At = item.Order.At.Add(delay)
 		item.Order = item.Order.Guard(now, item.Deadline)
 		e.retrier.First(item.Profile, e.profiles[item.Profile].RetryBudget)
-		if e.push(job, item, 0) == free {
+		if e.push(now, job, item, 0) == free {
 			e.lastShort = now
 		}
 	}
 }
 
 // push adds a task to the lane of its profile's class.
-func (e *Engine[P, T]) push(job *job, item Item, attempts int) lane {
+func (e *Engine[P, T]) push(now time.Time, job *job, item Item, attempts int) lane {
 	typical := e.profiles[item.Profile].TypicalTime
 	kind := laneOf(e.classifier.Class(item.Profile, typical))
 	next := e.allocate()
-	*next = task{item: item, job: job, lane: kind, attempts: attempts, expected: e.classifier.Mean(item.Profile, typical)}
+	*next = task{item: item, job: job, lane: kind, attempts: attempts, expected: e.mean(item.Profile, item.Deadline.Sub(now))}
 	job.pool.count(next, 1)
 	job.pool.waiting[kind].Push(next)
 	return kind
 }
 
+// mean returns the expected run time of a task. A declared time that is ten times too long must not keep a profile from
+// ever running, and so from being learned: until then it counts as at most a part of the time left.
+func (e *Engine[P, T]) mean(profile string, left time.Duration) time.Duration {
+	typical := e.profiles[profile].TypicalTime
+	if !e.classifier.Learned(profile) && left > 0 {
+		return min(typical, time.Duration(unlearnedShare*float64(left)))
+	}
+	return e.classifier.Mean(profile, typical)
+}
+
 // Dispatch returns what can be sent now, in order. The slice is valid until the next call.
 func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
 	e.sending = e.sending[:0]
@@ -245,7 +257,7 @@
 		e.delayed.Pop()
 		next.task.job.delayed--
 		if !next.task.job.forgotten {
-			e.push(next.task.job, next.task.item, next.task.attempts)
+			e.push(now, next.task.job, next.task.item, next.task.attempts)
 		}
 		e.recycle(next.task)
 	}
