--- a/replay/play.go
+++ b/replay/play.go
@@ -122,8 +122,17 @@
 		}
 		rows = append(rows, row)
 	}
-	rows = append(rows, reporter.Summarize("one queue, run times known", trace, player.Bound(trace)))
+	rows = append(rows, bound(trace))
 	title := fmt.Sprintf("%s: %d jobs in %v, demand %.2f, %d entries, seed %d", trace.Name, len(trace.Jobs),
 		trace.Length(), trace.Demand, trace.Entries, trace.Seed)
 	return reporter.Print(to, title, rows)
 }
+
+// bound returns the row of one queue that knows every run time.
+func bound(trace tracer.Trace) reporter.Summary {
+	row := reporter.Summarize("one queue, run times known", trace, player.Bound(trace))
+	if without := trace.Without(reporter.Batch); len(without.Jobs) < len(trace.Jobs) {
+		row.Blocking = row.ShortHigh / reporter.Summarize("", without, player.Bound(without)).ShortHigh
+	}
+	return row
+}
