Vary the mix of steps between random schedules

Cause: with one mix, faults that need long quiet phases or many restarts were reached late. Change: each schedule draws the weights of its kinds of steps, most clusters have three voters, and the test settings leave the lease 50 ms of room.

--- a/state/replicator/cluster_test.go
+++ b/state/replicator/cluster_test.go
@@ -27,8 +27,9 @@
 	err      error
 }
 
+// testSettings leave the lease little room: with clocks that differ by 10% in rate it ends 50 ms before the election timeout.
 func testSettings() Settings {
-	return Settings{Heartbeat: 100 * time.Millisecond, Lease: 400 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond,
+	return Settings{Heartbeat: 100 * time.Millisecond, Lease: 400 * time.Millisecond, ElectionTimeout: 500 * time.Millisecond,
 		MaxEntry: 64, MaxAppend: 120, MaxInflight: 3, MaxPending: 1024, SnapshotEvery: 6, KeepEntries: 2}
 }
 
--- a/state/replicator/schedule_test.go
+++ b/state/replicator/schedule_test.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// schedule is a run of random steps. pick returns a number from 0 to n-1 and decides everything.
+// schedule is a run of random steps. pick returns a number from 0 to n-1 and decides everything. The weights of the kinds of
+// steps differ between schedules, because some faults show only where other faults are rare.
 type schedule struct {
 	*cluster
-	pick func(n int) int
+	pick    func(n int) int
+	weights [9]int
 }
 
 // runSchedule takes steps random steps and then lets the cluster recover. It returns the first broken rule.
@@ -18,7 +20,10 @@
 			err = fmt.Errorf("panic: %v", fault)
 		}
 	}()
-	s := &schedule{cluster: newCluster(1+2*pick(3), uint64(pick(1<<30)), testSettings()), pick: pick}
+	s := &schedule{cluster: newCluster([]int{1, 3, 3, 3, 5}[pick(5)], uint64(pick(1<<30)), testSettings()), pick: pick}
+	for kind, usual := range [9]int{36, 18, 14, 8, 3, 5, 7, 4, 5} {
+		s.weights[kind] = 1 + usual*pick(4)/2
+	}
 	s.run(5*time.Second, func() bool { return s.leading() != nil })
 	for range steps {
 		s.random()
@@ -32,30 +37,45 @@
 
 func (s *schedule) random() {
 	h := s.hosts[s.pick(len(s.hosts))]
-	switch kind := s.pick(100); {
-	case kind < 36:
+	switch s.kind() {
+	case 0:
 		s.network(s.pick(12))
-	case kind < 54:
+	case 1:
 		if h.up && len(h.disk.queue) > 0 {
 			s.sync(h, 1+s.pick(len(h.disk.queue)))
 		}
-	case kind < 68:
+	case 2:
 		s.advance(time.Duration(1+s.pick(100)) * time.Millisecond)
-	case kind < 76:
+	case 3:
 		s.proposeSome()
-	case kind < 79:
+	case 4:
 		s.saveSnapshot(h)
-	case kind < 84:
+	case 5:
 		s.restart(h)
-	case kind < 91:
+	case 6:
 		s.partition(h, s.pick(7))
-	case kind < 95:
+	case 7:
 		s.change(h, s.pick(6))
-	default:
+	case 8:
 		s.run(time.Duration(50+s.pick(600))*time.Millisecond, func() bool { return false })
 	}
 }
 
+// kind picks the next kind of step by the weights of this schedule.
+func (s *schedule) kind() int {
+	total := 0
+	for _, weight := range s.weights {
+		total += weight
+	}
+	left := s.pick(total)
+	for kind, weight := range s.weights {
+		if left -= weight; left < 0 {
+			return kind
+		}
+	}
+	return 0
+}
+
 // network delivers the oldest packets, or loses, doubles or reorders one.
 func (s *schedule) network(kind int) {
 	if len(s.packets) == 0 {
