--- a/state/replicator/check_test.go
+++ b/state/replicator/check_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// Guards against entries that follow another entry than the snapshot's, left behind by a crash during a Restore.
+func TestInterruptedRestoreIsRepeated(t *testing.T) {
+	snapshot := Snapshot{Index: 2, Term: 3, Servers: []Server{{ID: ServerID{Name: "a", Disk: 1}, Voter: true}}}
+	for name, entries := range map[string][]Entry{
+		"the log conflicts":     {{Index: 1, Term: 2}, {Index: 2, Term: 2}, {Index: 3, Term: 2}},
+		"the log ends too soon": {{Index: 1, Term: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := &Node{Self: ServerID{Name: "a", Disk: 1}, Settings: Defaults(), Random: rand.New(rand.NewPCG(1, 1)),
+				Recovered: Recovered{State: HardState{Term: 3}, Snapshot: snapshot, Entries: entries}}
+			must.NoError(t, node.Check())
+			must.Eq(t, Action(Restore{Write: 1, Snapshot: snapshot}), node.Step(epoch, Started{})[0])
+			must.Eq(t, snapshot.Index, node.log.last())
+		})
+	}
+}
+
 // Guards against a server that can never begin a cluster because it crashed while it first tried.
 func TestBootstrapAfterCrash(t *testing.T) {
 	id := ServerID{Name: "a", Disk: 1}
