Hand over when the leader's disk hangs

Cause: proposals wait for the leader's own disk. A leader whose disk hangs kept the lead, since its heartbeats still arrived, and nothing was accepted. Change: a leader with a write under way for an election timeout hands over to the answering voter that holds most of the log; without one it stays. Conclusion: a hanging disk costs about an election timeout.

--- a/state/replicator/check_test.go
+++ b/state/replicator/check_test.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"oleandertally/core/mailer"
 )
 
+var _ mailer.Machine[Event, Action] = (*Node)(nil)
+
 // Guards against settings and data folders that break the rules of the lease or the log.
 func TestCheckNamesTheField(t *testing.T) {
 	valid := func() *Node {
--- a/state/replicator/disk.go
+++ b/state/replicator/disk.go
@@ -19,7 +19,7 @@
 		n.membersChanged()
 	}
 	write := n.nextWrite()
-	n.writes = append(n.writes, logWrite{write: write, last: n.log.last()})
+	n.writes = append(n.writes, logWrite{write: write, last: n.log.last(), issued: n.now})
 	n.emit(Append{Write: write, Entries: entries})
 }
 
@@ -48,7 +48,7 @@
 	n.commit, n.applied = snapshot.Index, snapshot.Index
 	n.synced = 0
 	write := n.nextWrite()
-	n.writes = []logWrite{{write: write, last: snapshot.Index}}
+	n.writes = []logWrite{{write: write, last: snapshot.Index, issued: n.now}}
 	n.emit(Restore{Write: write, Snapshot: snapshot})
 }
 
--- a/state/replicator/fault_test.go
+++ b/state/replicator/fault_test.go
@@ -169,6 +169,25 @@
 	must.Eq(t, before, c.now)
 }
 
+// Guards against a leader whose disk hangs, and which keeps the lead because its heartbeats still arrive.
+func TestLeaderWithHangingDiskHandsOver(t *testing.T) {
+	c, old := startCluster(t, 3)
+	c.propose(old)
+	for end := c.now.Add(2 * time.Second); c.now.Before(end); c.advance(50 * time.Millisecond) {
+		for n := len(c.packets); n > 0; n-- {
+			c.deliver(c.take(0))
+		}
+		for _, other := range others(c, old) {
+			c.sync(other, len(other.disk.queue))
+		}
+	}
+	must.NoError(t, c.err)
+	must.NotNil(t, c.leading())
+	must.NotEq(t, old, c.leading())
+	assertCommits(t, c, 1)
+	assertEqual(t, c)
+}
+
 // Guards against one disk write and one message for each proposal.
 func TestProposalsShareAnAppend(t *testing.T) {
 	c, leader := startCluster(t, 3)
--- a/state/replicator/lead.go
+++ b/state/replicator/lead.go
@@ -65,6 +65,10 @@
 	if n.lead.heartbeatAt.After(n.now) {
 		return
 	}
+	if target := n.best(); n.stalled() && !target.IsZero() {
+		n.handOver(target)
+		return
+	}
 	n.lead.heartbeatAt = n.now.Add(n.Settings.Heartbeat)
 	n.lead.rounds.begin(n.now, n.now.Add(-n.Settings.ElectionTimeout))
 	for _, peer := range n.lead.peers {
@@ -72,6 +76,12 @@
 	}
 }
 
+// stalled reports whether the disk holds back a write for longer than an election takes. Proposals wait for the own disk, so a
+// leader whose disk hangs would stop the cluster although it still sends heartbeats.
+func (n *Node) stalled() bool {
+	return len(n.writes) > 0 && !n.now.Before(n.writes[0].issued.Add(n.Settings.ElectionTimeout))
+}
+
 // heartbeat sends an empty message. While streaming it names the last entry sent, so that the loss of that entry
 // is noticed although nothing follows it.
 func (n *Node) heartbeat(peer *peer) {
--- a/state/replicator/logwrite.go
+++ b/state/replicator/logwrite.go
@@ -1,7 +1,10 @@
 package replicator
 
+import "time"
+
 // logWrite is a disk write under way, after which the stored log ends at last.
 type logWrite struct {
-	write Write
-	last  Index
+	write  Write
+	last   Index
+	issued time.Time
 }
