Compare servers by identity in the fault tests

Cause: a comparison of whole hosts looks into the fields of the machine. Change: two assertions compare identities. Conclusion: the assertions are as strict as before.

--- a/state/replicator/fault_test.go
+++ b/state/replicator/fault_test.go
@@ -165,7 +165,7 @@
 	c.step(leader, Transfer{})
 	must.Eq(t, Follower, leader.node.Role())
 	assertRuns(t, c, func() bool { return c.leading() != nil })
-	must.NotEq(t, leader, c.leading())
+	must.NotEq(t, leader.id, c.leading().id)
 	must.Eq(t, before, c.now)
 }
 
@@ -183,7 +183,7 @@
 	}
 	must.NoError(t, c.err)
 	must.NotNil(t, c.leading())
-	must.NotEq(t, old, c.leading())
+	must.NotEq(t, old.id, c.leading().id)
 	assertCommits(t, c, 1)
 	assertEqual(t, c)
 }
