--- a/state/replicator/fault_test.go
+++ b/state/replicator/fault_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	assertRuns(t, c, func() bool {
 		leader := c.leading()
-		return leader != nil && !leader.node.changing() && len(leader.node.members.current().voters()) == len(want)
+		return leader != nil && !leader.node.changing() && len(leader.node.members.current().voters) == len(want)
 	})
 	for _, h := range want {
 		must.True(t, c.leading().node.members.current().votes(h.id))
@@ -165,10 +165,29 @@
 	c.step(leader, Transfer{})
 	must.Eq(t, Follower, leader.node.Role())
 	assertRuns(t, c, func() bool { return c.leading() != nil })
-	must.NotEq(t, leader, c.leading())
+	must.NotEq(t, leader.id, c.leading().id)
 	must.Eq(t, before, c.now)
 }
 
+// Guards against a leader whose disk hangs, and which keeps the lead because its heartbeats still arrive.
+func TestLeaderWithHangingDiskHandsOver(t *testing.T) {
+	c, old := startCluster(t, 3)
+	c.propose(old)
+	for end := c.now.Add(2 * time.Second); c.now.Before(end); c.advance(50 * time.Millisecond) {
+		for n := len(c.packets); n > 0; n-- {
+			c.deliver(c.take(0))
+		}
+		for _, other := range others(c, old) {
+			c.sync(other, len(other.disk.queue))
+		}
+	}
+	must.NoError(t, c.err)
+	must.NotNil(t, c.leading())
+	must.NotEq(t, old.id, c.leading().id)
+	assertCommits(t, c, 1)
+	assertEqual(t, c)
+}
+
 // Guards against one disk write and one message for each proposal.
 func TestProposalsShareAnAppend(t *testing.T) {
 	c, leader := startCluster(t, 3)
