Let the scheduler's next deadline make progress

Cause: the time at which a paced agent may get more stayed due after Dispatch had handled it, so the entry's control loop spun for up to 20 ms.

--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -40,7 +40,6 @@
 	lastShort  time.Time
 	refreshed  time.Time
 	slowAt     time.Time
-	sentAt     time.Time
 	paced      []*agent // sent paceTasks tasks lately, oldest first
 	spare      []*task
 	sending    []Assignment // the buffer that Dispatch returns
@@ -191,7 +190,6 @@
 	if agent.pace(now); agent.paced == paceTasks {
 		e.paced = append(e.paced, agent)
 	}
-	e.sentAt = now
 	e.ejector.Sent(&agent.health)
 	e.update(now, agent)
 	e.sending = append(e.sending, Assignment{Agent: agent.member.Identity, Item: next.item})
@@ -353,8 +351,12 @@
 		return next
 	}
 	refresh := e.refreshed.Add(refreshEvery)
-	if paced := e.sentAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.refreshed) {
-		refresh = paced
+	// Only an agent that still waits for its pace counts: a time that Dispatch has handled must not come
+	// again, or the caller's loop would spin.
+	if len(e.paced) > 0 {
+		if paced := e.paced[0].paceAt.Add(paceInterval); paced.Before(refresh) {
+			refresh = paced
+		}
 	}
 	if next.IsZero() || refresh.Before(next) {
 		return refresh
