Let an agent take leave of its entries, and say when an entry is drained

A planned stop had no protocol: an agent that ended lost results on their way, and nothing said when an entry had answered everything. The executor now hands back what waits, reports Ended and takes leave of each entry; an entry releases the agent once no job counts on it. The coordinator answers Draining with Drained. Refused assignments are recorded unless the agent holds the task.

--- /dev/null
+++ b/agent/executor/departure.go
@@ -0,0 +1,53 @@
+package executor
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"oleandertally/core/specifier"
+)
+
+// departure is the state of an agent that leaves. The zero value is that of one that stays.
+type departure struct {
+	asked  bool                        // Leaving came
+	ended  bool                        // nothing was queued or running any more
+	left   bool                        // every entry has released the agent
+	awaits map[specifier.Identity]bool // entries that have not released it
+}
+
+// depart goes on with the departure once nothing is queued or running.
+func (x *Executor) depart() {
+	if !x.departure.asked || !x.Idle() {
+		return
+	}
+	if !x.departure.ended {
+		x.departure.ended = true
+		x.departure.awaits = make(map[specifier.Identity]bool)
+		x.out = append(x.out, Ended{})
+		for _, entry := range slices.SortedFunc(maps.Keys(x.links), compareNames) {
+			x.farewell(entry)
+		}
+	}
+	if len(x.departure.awaits) == 0 && !x.departure.left {
+		x.departure.left = true
+		x.out = append(x.out, Left{})
+	}
+}
+
+// farewell asks an entry for its release, also on a new stream, since the answer to the last one may be
+// lost. An entry whose stream is broken stays awaited: it asks for its results when it comes back.
+func (x *Executor) farewell(entry specifier.Identity) {
+	if x.departure.ended {
+		x.departure.awaits[entry] = true
+		x.out = append(x.out, Farewell{Entry: entry, Load: x.Load()})
+	}
+}
+
+func (x *Executor) released(e Released) {
+	if x.links[e.Entry] == e.Link {
+		delete(x.departure.awaits, e.Entry)
+	}
+}
+
+func compareNames(a, b specifier.Identity) int { return strings.Compare(a.String(), b.String()) }
--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -18,20 +18,21 @@
 	// result that was answered once must be there for a repeat.
 	HeldBytes int
 
-	jobs     map[specifier.JobID]*holding
-	queue    collector.Heap[*record]
-	expiring collector.Heap[expiry]
-	links    map[specifier.Identity]uint64
-	upstream netip.AddrPort
-	slots    int       // 0 while the upstream is absent
-	lapse    time.Time // when the upstream's announcement ends
-	running  int
-	queued   int
-	held     int
-	lease    time.Time
-	now      time.Time // of the present step
-	draining bool
-	out      []Action
+	jobs      map[specifier.JobID]*holding
+	queue     collector.Heap[*record]
+	expiring  collector.Heap[expiry]
+	links     map[specifier.Identity]uint64
+	upstream  netip.AddrPort
+	slots     int       // 0 while the upstream is absent
+	lapse     time.Time // when the upstream's announcement ends
+	running   int
+	queued    int
+	held      int
+	lease     time.Time
+	now       time.Time // of the present step
+	draining  bool
+	departure departure
+	out       []Action
 }
 
 // New returns an executor without an upstream or a lease.
@@ -53,6 +54,7 @@
 	case Linked:
 		x.links[event.Entry] = event.Link
 		x.out = append(x.out, Greet{Entry: event.Entry, Load: x.Load()})
+		x.farewell(event.Entry)
 	case Unlinked:
 		if x.links[event.Entry] == event.Link {
 			delete(x.links, event.Entry)
@@ -72,9 +74,17 @@
 	case Leased:
 		x.leaseRenewed(now, event.Until)
 	case Draining:
-		x.drain(event.On)
+		x.drain(event.On || x.departure.asked)
+	case Leaving:
+		x.departure.asked = true
+		x.drain(true)
+	case Released:
+		x.released(event)
+	case Pinged:
+		x.out = append(x.out, Ponged{Number: event.Number})
 	}
 	x.start(now)
+	x.depart()
 	return x.out
 }
 
@@ -96,6 +106,7 @@
 		x.expire(now, next)
 	}
 	x.start(now)
+	x.depart()
 	return x.out
 }
 
@@ -390,7 +401,13 @@
 	x.note(recorder.TaskRefused, task, job.owner.Name, string(cause))
 }
 
+// refuse answers an assignment that is not taken. It is recorded unless the agent holds the task, which it
+// then may have started.
 func (x *Executor) refuse(e Assigned, cause Cause) {
+	if job := x.jobs[e.Key.Job]; job == nil || job.tasks[e.Key.Task] == nil {
+		x.out = append(x.out, Note{recorder.Event{Kind: recorder.TaskRefused, Job: e.Key.Job, Task: e.Key.Task, Epoch: e.Epoch,
+			Other: e.Entry.Name, Detail: string(cause)}})
+	}
 	x.out = append(x.out, Refused{Entry: e.Entry, Key: e.Key, Epoch: e.Epoch, Cause: cause, Load: x.Load()})
 }
 
--- /dev/null
+++ b/agent/executor/released.go
@@ -0,0 +1,11 @@
+package executor
+
+import "oleandertally/core/specifier"
+
+// Released is an entry's answer to Farewell: it counts on nothing more from this agent.
+type Released struct {
+	Entry specifier.Identity
+	Link  uint64
+}
+
+func (Released) event() {}
--- a/agent/listener/messages.go
+++ b/agent/listener/messages.go
@@ -37,6 +37,9 @@
 		left := min(max(time.Duration(fence.TimeLeft), 0), specifier.MaxTimeLeft)
 		events = append(events, executor.Fenced{Entry: entry, Link: link, Job: job, Epoch: specifier.Epoch(fence.Epoch), Deadline: now.Add(left), Mark: fence.Mark})
 	}
+	if m.Released {
+		events = append(events, executor.Released{Entry: entry, Link: link})
+	}
 	return events, nil
 }
 
@@ -89,6 +92,11 @@
 	return &encoder.AgentMessage{Reports: []*encoder.Report{report}, Load: EncodeLoad(r.Load)}
 }
 
+// EncodeFarewell copies every field.
+func EncodeFarewell(f executor.Farewell) *encoder.AgentMessage {
+	return &encoder.AgentMessage{Leaving: true, Load: EncodeLoad(f.Load)}
+}
+
 // EncodeLoad copies every field.
 func EncodeLoad(load specifier.Load) *encoder.Load {
 	return &encoder.Load{Slots: int32(load.Slots), Running: int32(load.Running), Queued: int32(load.Queued)}
--- a/agent/listener/worker.go
+++ b/agent/listener/worker.go
@@ -22,6 +22,8 @@
 	Sink  *mailer.Mailbox[executor.Event]
 	Links *Links
 	Clock func() time.Time
+	// Verify returns an error unless the call of ctx comes from the entry with that name.
+	Verify func(ctx context.Context, entry string) error
 }
 
 // Link serves one entry until its stream ends.
@@ -34,6 +36,9 @@
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
+	if err := w.Verify(stream.Context(), entry.Name); err != nil {
+		return status.Error(codes.PermissionDenied, err.Error())
+	}
 	self := w.Self()
 	if first.Target != uint64(self.Incarnation) {
 		return status.Errorf(codes.FailedPrecondition, "Target: is %016x, this agent is %s", first.Target, self)
@@ -70,11 +75,12 @@
 			merged.Refusals = append(merged.Refusals, message.Refusals...)
 			merged.Reports = append(merged.Reports, message.Reports...)
 			merged.Load = message.Load
+			merged.Leaving = message.Leaving
 			for _, done := range message.Dones {
 				size += len(done.Body)
 			}
 			// A report comes in a message of its own order: what follows it must not overtake it.
-			if size < mergeBytes && len(message.Reports) == 0 && i < len(messages)-1 {
+			if size < mergeBytes && len(message.Reports) == 0 && !message.Leaving && i < len(messages)-1 {
 				continue
 			}
 			if err := stream.Send(merged); err != nil {
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -39,6 +39,8 @@
 	linked        map[specifier.Identity]bool
 	mark          uint64 // counts assignments and fences
 	draining      bool
+	drainAsked    bool                        // Drained is still to be said
+	leaving       map[specifier.Identity]bool // agents that wait to be released
 	out           []Action
 }
 
@@ -53,6 +55,7 @@
 		timers:    collector.Heap[timer]{Less: timer.less},
 		agents:    make(map[specifier.Identity]specifier.Member),
 		linked:    make(map[specifier.Identity]bool),
+		leaving:   make(map[specifier.Identity]bool),
 	}
 }
 
@@ -84,6 +87,7 @@
 		c.agentLinked(now, event.Agent)
 	case AgentUnlinked:
 		delete(c.linked, event.Agent)
+		delete(c.leaving, event.Agent)
 		c.Scheduler.SetLinked(now, event.Agent, false)
 	case MembersChanged:
 		c.membersChanged(now, event)
@@ -94,10 +98,16 @@
 			c.disown(now)
 			c.self = event.Self
 		}
+	case AgentLeaving:
+		c.agentLeaving(now, event.Agent)
+	case Pinged:
+		c.out = append(c.out, Reply{Waiter: event.Waiter})
 	case Draining:
-		c.draining = true
+		c.drain()
 	}
 	c.dispatch(now)
+	c.release()
+	c.reportDrained()
 	return c.out
 }
 
@@ -115,6 +125,8 @@
 		}
 	}
 	c.dispatch(now)
+	c.release()
+	c.reportDrained()
 	return c.out
 }
 
--- /dev/null
+++ b/entry/coordinator/pinged.go
@@ -0,0 +1,8 @@
+package coordinator
+
+// Pinged asks for a Reply to Waiter, which shows that the control goroutine handles events.
+type Pinged struct {
+	Waiter Waiter
+}
+
+func (Pinged) event() {}
--- a/entry/coordinator/runs.go
+++ b/entry/coordinator/runs.go
@@ -284,6 +284,7 @@
 	c.Scheduler.SetMembers(now, e.Members)
 	for _, agent := range slices.SortedFunc(maps.Keys(gone), compareIdentity) {
 		delete(c.linked, agent)
+		delete(c.leaving, agent)
 		c.noteDown(agent)
 	}
 	for _, job := range c.sorted(func(j *job) bool { return j.phase == running || j.phase == collecting }) {
--- a/entry/linker/messages.go
+++ b/entry/linker/messages.go
@@ -29,6 +29,9 @@
 	return &encoder.EntryMessage{Fences: []*encoder.Fence{{Job: f.Job[:], Epoch: uint64(f.Epoch), TimeLeft: int64(f.Deadline.Sub(now)), Mark: f.Mark}}}
 }
 
+// EncodeReleased copies every field.
+func EncodeReleased() *encoder.EntryMessage { return &encoder.EntryMessage{Released: true} }
+
 // merge joins leading messages of one kind, so that the order between kinds is kept: an agent
 // handles the assignments of a message before its withdrawals and fences.
 func merge(messages []*encoder.EntryMessage) (*encoder.EntryMessage, []*encoder.EntryMessage) {
@@ -36,13 +39,14 @@
 	size := payloadBytes(merged)
 	for i, next := range messages[1:] {
 		size += payloadBytes(next)
-		if size > mergeBytes || (len(next.Assigns) > 0 && len(merged.Withdraws)+len(merged.Fences) > 0) ||
+		if size > mergeBytes || merged.Released || (len(next.Assigns) > 0 && len(merged.Withdraws)+len(merged.Fences) > 0) ||
 			(len(next.Withdraws) > 0 && len(merged.Fences) > 0) {
 			return merged, messages[i+1:]
 		}
 		merged.Assigns = append(merged.Assigns, next.Assigns...)
 		merged.Withdraws = append(merged.Withdraws, next.Withdraws...)
 		merged.Fences = append(merged.Fences, next.Fences...)
+		merged.Released = next.Released
 	}
 	return merged, nil
 }
@@ -87,6 +91,9 @@
 		load := specifier.Load{Slots: int(m.Load.Slots), Running: int(m.Load.Running), Queued: int(m.Load.Queued)}
 		events = append(events, coordinator.Loaded{Agent: agent, Load: load})
 	}
+	if m.Leaving {
+		events = append(events, coordinator.AgentLeaving{Agent: agent})
+	}
 	return events, nil
 }
 
