Turn the entry and the agent into programs with settings, TLS, health and metrics

The runners had no program around them: limits were constants, nobody checked tokens or roles, and there was no health page. entry and agent now read -settings (or a deployment with -name), check the caller's token before the body and its team after, guard each gRPC method by role, serve /livez, /readyz and /metrics on MetricsAddr and the Timeline service beside their own, and stop in steps on the first signal. A meter on each control goroutine fills the metrics.

--- a/agent/invoker/invoker.go
+++ b/agent/invoker/invoker.go
@@ -15,16 +15,13 @@
 	"oleandertally/core/specifier"
 )
 
-// connections is how many connections the upstream accepts.
-const connections = 64
-
 // Invoker performs Run actions. Use New.
 type Invoker struct {
 	client *http.Client
 }
 
-// New returns an invoker with a connection pool of its own.
-func New() *Invoker {
+// New returns an invoker with a pool of its own of at most connections connections.
+func New(connections int) *Invoker {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxConnsPerHost:     connections,
--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -5,145 +5,197 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc"
 
 	"oleandertally/agent/executor"
 	"oleandertally/agent/invoker"
 	"oleandertally/agent/listener"
 	"oleandertally/core/attender"
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
+	"oleandertally/core/operator"
 	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
 )
 
 const (
+	// mailboxSize is the number of events that may wait for the control goroutine.
 	mailboxSize = 4096
-	queueBound  = 4096
-	heldBytes   = 64 << 20
+	// heldBytes bounds the results kept for repeats.
+	heldBytes = 64 << 20
 )
 
-// Agent is one agent process. Exported fields are set before Run.
+// The conditions of an agent that is ready.
+const (
+	conditionLease    = "Lease"    // the controllers count the agent as a member
+	conditionUpstream = "Upstream" // it has slots for work
+)
+
+// Conditions are those under which an agent is ready for work.
+func Conditions() []string { return []string{conditionLease, conditionUpstream} }
+
+// guard says who may call an agent.
+var guard = authenticator.Guard{
+	encoder.Worker_Link_FullMethodName:     {specifier.Entry},
+	encoder.Timeline_Gather_FullMethodName: {authenticator.Operator},
+}
+
+// Agent is one agent process. Exported fields are set before Open.
 type Agent struct {
-	Name         string
-	Zone         string // availability zone
-	Rack         string
-	Service      string
-	Addr         netip.AddrPort // gRPC, for entries
-	AnnounceAddr netip.AddrPort // HTTP, for the upstream
-	Controllers  []netip.AddrPort
-	Credentials  credentials.TransportCredentials
-	Events       *recorder.Buffer
-	Log          zerolog.Logger
-
-	self     atomic.Pointer[specifier.Identity]
-	executor *executor.Executor
-	mailbox  *mailer.Mailbox[executor.Event]
-	links    *listener.Links
-	invoker  *invoker.Invoker
-	attender *attender.Attender
-	calls    *errgroup.Group
-	callCtx  context.Context
+	Settings configurator.AgentSettings
+	Security *authenticator.Authenticator
+	Events   *recorder.Buffer // its Process is set to the identity of each run
+	Metrics  *reporter.Agent
+	Health   *supervisor.Health
+	Log      zerolog.Logger
+
+	self          atomic.Pointer[specifier.Identity]
+	mailbox       *mailer.Mailbox[executor.Event]
+	links         *listener.Links
+	invoker       *invoker.Invoker
+	attender      *attender.Attender
+	lease         *attender.Lease
+	pings         pings
+	pool          *dialer.Pool
+	web           *http.Server
+	server        *grpc.Server
+	entries       net.Listener
+	announcements net.Listener
+	calls         *errgroup.Group
+	callCtx       context.Context
+	ended         chan struct{} // closed when nothing is queued or running any more
+	left          chan struct{} // closed when every entry has released the agent
+	leave         chan struct{} // closed to end the attendance
+	attended      chan struct{} // closed when it has ended
 }
 
 // Check returns an error that names the first field that is missing.
 func (a *Agent) Check() error {
 	switch {
-	case a.Name == "":
-		return errors.New("agent: Name: is empty")
-	case a.Zone == "":
-		return errors.New("agent: Zone: is empty")
-	case a.Service == "":
-		return errors.New("agent: Service: is empty")
-	case !a.Addr.IsValid():
-		return errors.New("agent: Addr: is missing, expected IP:port")
-	case !a.AnnounceAddr.IsValid():
-		return errors.New("agent: AnnounceAddr: is missing, expected IP:port")
-	case len(a.Controllers) == 0:
-		return errors.New("agent: Controllers: is empty")
-	case a.Credentials == nil, a.Events == nil:
-		return errors.New("agent: Credentials, Events: must be set")
+	case len(a.Settings.Controllers) == 0:
+		return errors.New("agent: Settings.Controllers: is empty")
+	case a.Security == nil, a.Events == nil, a.Metrics == nil, a.Health == nil:
+		return errors.New("agent: Security, Events, Metrics, Health: must be set")
 	}
 	return nil
 }
 
-// Run serves until ctx ends.
-func (a *Agent) Run(ctx context.Context) error {
+// Open opens both listeners before anything is announced.
+func (a *Agent) Open() error {
 	if err := a.Check(); err != nil {
 		return err
 	}
-	a.self.Store(&specifier.Identity{Name: a.Name, Incarnation: specifier.Incarnation(rand.Uint64())})
-	a.executor = executor.New(queueBound, heldBytes)
+	identity := specifier.Identity{Name: a.Settings.Name, Incarnation: specifier.Incarnation(rand.Uint64())}
+	a.self.Store(&identity)
+	a.Events.SetProcess(identity.String())
 	a.mailbox = mailer.NewMailbox[executor.Event](mailboxSize)
 	a.links = &listener.Links{}
-	a.invoker = invoker.New()
-	defer a.invoker.Close()
-	pool := &dialer.Pool{Credentials: a.Credentials}
-	defer pool.Close()
+	a.invoker = invoker.New(a.Settings.MaxConnections)
+	a.pool = &dialer.Pool{Credentials: a.Security.ClientCredentials(specifier.Controller, ""), MaxMessage: int(a.Settings.MaxMessage),
+		Stats: &reporter.Bytes{Member: a.Metrics.Member}}
+	a.ended, a.left = make(chan struct{}), make(chan struct{})
+	a.leave, a.attended = make(chan struct{}), make(chan struct{})
+	a.Health.Probe = a.probe
+	a.watchLease()
+	var err error
+	if a.entries, err = net.Listen("tcp", a.Settings.AgentAddr.String()); err != nil {
+		return errors.Wrap(err, "agent: listen on AgentAddr")
+	}
+	if a.announcements, err = net.Listen("tcp", a.Settings.AnnounceAddr.String()); err != nil {
+		a.entries.Close()
+		return errors.Wrap(err, "agent: listen on AnnounceAddr")
+	}
+	a.serve()
+	return nil
+}
+
+// serve prepares both servers.
+func (a *Agent) serve() {
+	a.server = dialer.NewGuardedServer(a.Security.ServerOptions(guard, a.Settings.MaxMessage)...)
+	encoder.RegisterWorkerServer(a.server, &listener.Worker{Self: a.Self, Sink: a.mailbox, Links: a.links, Clock: time.Now,
+		Verify: func(ctx context.Context, entry string) error {
+			return a.Security.CheckPeer(ctx, authenticator.Peer{Role: specifier.Entry, Name: entry})
+		}})
+	encoder.RegisterTimelineServer(a.server, &operator.Timeline{Buffer: a.Events})
+	announcer := &listener.Announcer{Sink: a.mailbox, Clock: time.Now}
+	a.web = &http.Server{Handler: announcer.Routes(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, MaxHeaderBytes: 16 << 10}
+}
 
+func (a *Agent) watchLease() {
+	a.lease = attender.NewLease()
+	a.lease.Clock = time.Now
+	a.lease.Renewed = func(left time.Duration) {
+		a.Health.Meet(conditionLease)
+		a.Metrics.SetLeaseMargin(left)
+	}
+	a.lease.Lapsed = func() { a.Health.Miss(conditionLease, "no controller has renewed it in time") }
+}
+
+// Run serves until ctx ends, which cuts off the calls to the upstream; Steps end an agent without that. It
+// calls Open unless that was done.
+func (a *Agent) Run(ctx context.Context) error {
+	if a.mailbox == nil {
+		if err := a.Open(); err != nil {
+			return err
+		}
+	}
+	defer a.invoker.Close()
+	defer a.pool.Close()
 	group, ctx := errgroup.WithContext(ctx)
 	a.calls, a.callCtx = group, ctx
 	a.attender = attender.New()
 	a.attender.Member = a.member(0)
-	a.attender.Controllers, a.attender.Pool, a.attender.Log = a.Controllers, pool, a.Log
+	a.attender.Controllers, a.attender.Pool, a.attender.Log = a.Settings.Controllers, a.pool, a.Log
 	a.attender.Notify = a.notify
-
-	if err := a.serve(group, ctx); err != nil {
-		return err
-	}
-	loop := &mailer.Loop[executor.Event, executor.Action]{Machine: a.executor, Mailbox: a.mailbox, Perform: a.perform, Clock: time.Now}
+	machine := newMeter(executor.New(a.Settings.MaxQueue, heldBytes), a.Metrics)
+	loop := &mailer.Loop[executor.Event, executor.Action]{Machine: machine, Mailbox: a.mailbox, Perform: a.perform, Clock: time.Now}
 	group.Go(func() error { return loop.Run(ctx) })
-	group.Go(func() error { return a.attender.Run(ctx) })
-	return group.Wait()
-}
-
-// serve opens both listeners before anything is announced.
-func (a *Agent) serve(group *errgroup.Group, ctx context.Context) error {
-	entries, err := net.Listen("tcp", a.Addr.String())
-	if err != nil {
-		return errors.Wrap(err, "agent: listen on Addr")
-	}
-	announcements, err := net.Listen("tcp", a.AnnounceAddr.String())
-	if err != nil {
-		entries.Close()
-		return errors.Wrap(err, "agent: listen on AnnounceAddr")
-	}
-	server := dialer.NewServer(a.Credentials)
-	encoder.RegisterWorkerServer(server, &listener.Worker{Self: a.Self, Sink: a.mailbox, Links: a.links, Clock: time.Now})
-	announcer := &listener.Announcer{Sink: a.mailbox, Clock: time.Now}
-	web := &http.Server{Handler: announcer.Routes(), ReadHeaderTimeout: 5 * time.Second}
-	group.Go(func() error { return errors.Wrap(server.Serve(entries), "agent: serve entries") })
-	group.Go(func() error { return errors.Wrap(web.Serve(announcements), "agent: serve announcements") })
+	group.Go(func() error { return a.lease.Run(ctx) })
+	group.Go(func() error { return supervisor.Serve(a.web, a.announcements)(ctx) })
+	group.Go(func() error { return errors.Wrap(a.server.Serve(a.entries), "agent: serve entries") })
+	group.Go(func() error { <-ctx.Done(); a.server.Stop(); return nil })
 	group.Go(func() error {
-		<-ctx.Done()
-		server.Stop()
-		web.Close()
-		return nil
+		defer close(a.attended)
+		return a.attender.RunUntil(ctx, a.leave)
 	})
-	return nil
+	return group.Wait()
 }
 
 // Self returns the agent's present identity.
 func (a *Agent) Self() specifier.Identity { return *a.self.Load() }
 
 func (a *Agent) member(slots int) specifier.Member {
-	return specifier.Member{Identity: a.Self(), Role: specifier.Agent, Addr: a.Addr, Zone: a.Zone, Rack: a.Rack,
-		Service: a.Service, Slots: slots}
+	return specifier.Member{Identity: a.Self(), Role: specifier.Agent, Addr: a.Settings.AgentAddr, Zone: a.Settings.Zone,
+		Rack: a.Settings.Rack, Service: a.Settings.Service, Slots: slots}
 }
 
 // notify turns what the controllers say into events.
 func (a *Agent) notify(ctx context.Context, notice attender.Notice) error {
-	a.self.Store(&notice.Self)
+	if notice.Self != a.Self() {
+		// What is recorded from now on belongs to the new incarnation; nothing has started since the lease
+		// of the old one ended.
+		a.self.Store(&notice.Self)
+		a.Events.SetProcess(notice.Self.String())
+	}
+	if notice.Configuration != nil {
+		a.Metrics.SetRevision(notice.Configuration.Revision)
+	}
 	var events []executor.Event
 	if !notice.Until.IsZero() {
+		if err := a.lease.Renew(ctx, notice.Until); err != nil {
+			return err
+		}
 		events = append(events, executor.Leased{Until: notice.Until})
 	}
 	for _, member := range notice.Members {
@@ -178,6 +230,19 @@
 	case executor.Announce:
 		a.links.PutAll(&encoder.AgentMessage{Load: listener.EncodeLoad(action.Load)})
 		a.attender.Announce(a.member(action.Load.Slots))
+		if action.Load.Slots > 0 {
+			a.Health.Meet(conditionUpstream)
+		} else {
+			a.Health.Miss(conditionUpstream, "takes no work")
+		}
+	case executor.Farewell:
+		a.links.Put(action.Entry, listener.EncodeFarewell(action))
+	case executor.Ended:
+		close(a.ended)
+	case executor.Left:
+		close(a.left)
+	case executor.Ponged:
+		a.pings.answer(action.Number)
 	case executor.Note:
 		a.Events.Add(action.Event)
 	}
--- /dev/null
+++ b/agent/runner/measured.go
@@ -0,0 +1,18 @@
+package runner
+
+import (
+	"time"
+
+	"oleandertally/core/reporter"
+)
+
+// measured is what a meter remembers of a task that is queued or running.
+type measured struct {
+	profile string
+	class   reporter.Class // as learned when it was queued
+	queued  time.Time
+	started time.Time
+}
+
+// waits reports whether the task is queued.
+func (m measured) waits() bool { return !m.queued.IsZero() && m.started.IsZero() }
--- /dev/null
+++ b/agent/runner/meter.go
@@ -0,0 +1,125 @@
+package runner
+
+import (
+	"time"
+
+	"oleandertally/agent/executor"
+	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
+	"oleandertally/core/specifier"
+	"oleandertally/dispatch/classifier"
+)
+
+// meter counts what passes through the executor. It runs on the control goroutine and does not block.
+type meter struct {
+	executor *executor.Executor
+	metrics  *reporter.Agent
+
+	tasks      map[specifier.TaskKey]measured // queued or running
+	queued     map[reporter.Class]int
+	classifier classifier.Classifier
+}
+
+func newMeter(machine *executor.Executor, metrics *reporter.Agent) *meter {
+	return &meter{executor: machine, metrics: metrics, tasks: make(map[specifier.TaskKey]measured), queued: make(map[reporter.Class]int)}
+}
+
+// Step handles one event.
+func (m *meter) Step(now time.Time, event executor.Event) []executor.Action {
+	switch event := event.(type) {
+	case executor.Assigned:
+		if _, known := m.tasks[event.Key]; !known {
+			m.tasks[event.Key] = measured{profile: event.Profile}
+		}
+		defer m.dropRefused(event.Key)
+	case executor.RunEnded:
+		m.ended(now, event)
+	}
+	return m.actions(now, m.executor.Step(now, event))
+}
+
+// Expire handles every deadline that is due.
+func (m *meter) Expire(now time.Time) []executor.Action {
+	return m.actions(now, m.executor.Expire(now))
+}
+
+// Next returns the earliest deadline.
+func (m *meter) Next() time.Time { return m.executor.Next() }
+
+// dropRefused forgets an assignment that was not taken.
+func (m *meter) dropRefused(key specifier.TaskKey) {
+	if task := m.tasks[key]; task.queued.IsZero() {
+		delete(m.tasks, key)
+	}
+}
+
+func (m *meter) ended(now time.Time, e executor.RunEnded) {
+	task, known := m.tasks[e.Key]
+	if !known {
+		return
+	}
+	delete(m.tasks, e.Key)
+	if e.NotStarted {
+		return
+	}
+	ran := now.Sub(task.started)
+	if !e.Broken {
+		m.classifier.Record(task.profile, ran)
+	}
+	m.metrics.Ended(classes[classifier.Of(ran)], ran, e.Broken)
+}
+
+func (m *meter) actions(now time.Time, actions []executor.Action) []executor.Action {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case executor.Note:
+			m.noted(now, action.Event)
+		case executor.Refused:
+			m.metrics.Refused(reporter.Cause(action.Cause))
+		}
+	}
+	load := m.executor.Load()
+	m.metrics.SetSlots(load.Slots, load.Running)
+	return actions
+}
+
+func (m *meter) noted(now time.Time, event recorder.Event) {
+	key := specifier.TaskKey{Job: event.Job, Task: event.Task}
+	task, known := m.tasks[key]
+	switch {
+	case event.Kind == recorder.JobFenced:
+		m.fenced(event.Job)
+	case !known:
+	case event.Kind == recorder.TaskQueued:
+		task.queued, task.class = now, classes[m.classifier.Class(task.profile, 0)]
+		m.tasks[key] = task
+		m.count(task.class, 1)
+	case event.Kind == recorder.TaskStarted:
+		m.count(task.class, -1)
+		m.metrics.Started(task.class, now.Sub(task.queued))
+		task.started = now
+		m.tasks[key] = task
+	case event.Kind == recorder.TaskRefused && task.waits():
+		m.count(task.class, -1)
+		delete(m.tasks, key)
+	}
+}
+
+// fenced forgets what the executor drops without a word.
+func (m *meter) fenced(job specifier.JobID) {
+	for key, task := range m.tasks {
+		if key.Job == job && task.waits() {
+			m.count(task.class, -1)
+			delete(m.tasks, key)
+		}
+	}
+}
+
+func (m *meter) count(class reporter.Class, change int) {
+	m.queued[class] += change
+	m.metrics.SetQueued(class, m.queued[class])
+}
+
+var classes = map[classifier.Class]reporter.Class{
+	classifier.Short: reporter.Short, classifier.Medium: reporter.Medium, classifier.Long: reporter.Long,
+}
--- a/core/attender/attender.go
+++ b/core/attender/attender.go
@@ -71,6 +71,28 @@
 	return context.Cause(ctx)
 }
 
+// RunUntil attends until leave is closed, and then returns nil, or until ctx ends.
+func (a *Attender) RunUntil(ctx context.Context, leave <-chan struct{}) error {
+	attending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, _ := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		select {
+		case <-leave:
+			cancel()
+		case <-attending.Done():
+		}
+		return nil
+	})
+	err := a.Run(attending)
+	cancel()
+	_ = group.Wait()
+	if ctx.Err() == nil && errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // session attends at one controller. It returns the leader that the controller names, if any.
 func (a *Attender) session(ctx context.Context, addr netip.AddrPort) (leader netip.AddrPort, err error) {
 	conn, err := a.Pool.Conn(addr)
--- a/core/dialer/pool.go
+++ b/core/dialer/pool.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 
 	"oleandertally/core/encoder"
 )
@@ -17,6 +18,8 @@
 // Pool shares connections. Fields are set before use; it is safe for concurrent use.
 type Pool struct {
 	Credentials credentials.TransportCredentials
+	MaxMessage  int           // bytes; default encoder.MaxMessage
+	Stats       stats.Handler // default none
 
 	mutex sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
@@ -29,9 +32,25 @@
 	if conn := p.conns[addr]; conn != nil {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dialer: connect to %s", addr)
+	}
+	if p.conns == nil {
+		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+	}
+	p.conns[addr] = conn
+	return conn, nil
+}
+
+func (p *Pool) options() []grpc.DialOption {
+	bound := p.MaxMessage
+	if bound == 0 {
+		bound = encoder.MaxMessage
+	}
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.Credentials),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(bound), grpc.MaxCallSendMsgSize(bound)),
 		// The default of two minutes would keep a process away from a peer long after it came back.
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
@@ -39,15 +58,11 @@
 		}),
 		// A silent partition shows as a broken stream after Time plus Timeout.
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
-	)
-	if err != nil {
-		return nil, errors.Wrapf(err, "dialer: connect to %s", addr)
 	}
-	if p.conns == nil {
-		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+	if p.Stats != nil {
+		options = append(options, grpc.WithStatsHandler(p.Stats))
 	}
-	p.conns[addr] = conn
-	return conn, nil
+	return options
 }
 
 // Close closes every connection.
--- /dev/null
+++ b/core/launcher/doc.go
@@ -0,0 +1,2 @@
+// Package launcher runs one role as a program: it serves its health and metrics and stops it in order.
+package launcher
--- /dev/null
+++ b/core/launcher/exit.go
@@ -0,0 +1,32 @@
+package launcher
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"oleandertally/core/supervisor"
+)
+
+// The exit codes of the programs.
+const (
+	ExitStopped  = 0 // a shutdown that cut nothing off
+	ExitFailed   = 1 // a part failed; the rest was stopped in order
+	ExitSettings = 2 // the arguments, the settings or what they name can't be used; nothing was served
+	ExitCutOff   = 3 // the shutdown was cut off by a second signal or by StopWithin
+)
+
+// ErrSettings marks the errors of a process that could not start.
+var ErrSettings = errors.New("the process can't start")
+
+// Exit returns the exit code for what a program returned.
+func Exit(err error) int {
+	var cut *supervisor.CutOff
+	switch {
+	case err == nil:
+		return ExitStopped
+	case errors.As(err, &cut):
+		return ExitCutOff
+	case errors.Is(err, ErrSettings):
+		return ExitSettings
+	}
+	return ExitFailed
+}
--- a/entry/answerer/handler.go
+++ b/entry/answerer/handler.go
@@ -22,26 +22,68 @@
 	Sink    *mailer.Mailbox[coordinator.Event]
 	Waiters *Waiters
 	Clock   func() time.Time
-	// Authorize reports whether the request may act for team.
-	Authorize func(request *http.Request, team string) bool
+	// Admit returns an error for a stranger, by the headers alone.
+	Admit func(request *http.Request) error
+	// Authorize returns an error unless the request may act for team.
+	Authorize   func(request *http.Request, team string) error
+	MaxBody     int64                         // of a submission, in bytes
+	BodyTimeout time.Duration                 // for a caller to send a whole request
+	Requests    *Gate                         // bounds the requests that are open at once
+	Refused     func(answer specifier.Answer) // told of each submission that the coordinator never saw
 }
 
 // Routes returns the handler of the resource /v1/jobs.
 func (h *Handler) Routes() http.Handler {
 	routes := http.NewServeMux()
-	routes.HandleFunc("POST /v1/jobs", h.submit)
-	routes.HandleFunc("DELETE /v1/jobs/{key}", h.cancel)
+	routes.HandleFunc("POST /v1/jobs", h.bounded(h.submit))
+	routes.HandleFunc("DELETE /v1/jobs/{key}", h.bounded(h.cancel))
 	return routes
 }
 
+// bounded checks what can be checked before the body is read.
+func (h *Handler) bounded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := h.Admit(r); err != nil {
+			// The body is not read, so the connection can't be used again.
+			w.Header().Set("Connection", "close")
+			h.refuse(w, specifier.Refuse(specifier.Unauthorized, "the request carries no token of any team"))
+			return
+		}
+		if !h.Requests.Enter() {
+			w.Header().Set("Connection", "close")
+			h.refuse(w, specifier.Fail(specifier.Overloaded,
+				"this entry has too many requests open to look the key up; an earlier submission under it may have run", true))
+			return
+		}
+		defer h.Requests.Leave()
+		next(w, r)
+	}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, answer specifier.Answer) {
+	h.Refused(answer)
+	write(w, answer)
+}
+
+// read decodes the body within BodyTimeout. The time for reading is not limited after that, or the
+// connection would break while the job runs.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (specifier.Job, *specifier.Problems) {
+	control := http.NewResponseController(w)
+	// A connection that can't be limited, as in a test without a network, sends its body at once.
+	_ = control.SetReadDeadline(h.Clock().Add(h.BodyTimeout))
+	job, problems := decodeSubmission(http.MaxBytesReader(w, r.Body, h.MaxBody), r.Header.Get("Idempotency-Key"), h.Clock())
+	_ = control.SetReadDeadline(time.Time{})
+	return job, problems
+}
+
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
-	job, problems := decodeSubmission(http.MaxBytesReader(w, r.Body, specifier.MaxBody), r.Header.Get("Idempotency-Key"), h.Clock())
+	job, problems := h.read(w, r)
 	if problems != nil {
-		write(w, specifier.Refuse(specifier.Invalid, problems.Error()))
+		h.refuse(w, specifier.Refuse(specifier.Invalid, problems.Error()))
 		return
 	}
-	if !h.Authorize(r, job.Team) {
-		write(w, specifier.Refuse(specifier.Unauthorized, "the token does not belong to the team"))
+	if err := h.Authorize(r, job.Team); err != nil {
+		h.refuse(w, specifier.Refuse(specifier.Unauthorized, "the token does not belong to the team"))
 		return
 	}
 	waiter, reply := h.Waiters.Open()
@@ -63,7 +105,7 @@
 		write(w, specifier.Refuse(specifier.Invalid, problems.Error()))
 		return
 	}
-	if !h.Authorize(r, team) {
+	if err := h.Authorize(r, team); err != nil {
 		write(w, specifier.Refuse(specifier.Unauthorized, "the token does not belong to the team"))
 		return
 	}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,74 @@
+// Entry accepts jobs from callers over HTTP and dispatches their tasks to agents.
+//
+//	entry -settings FILE              settings of this entry
+//	entry -settings FILE -name NAME   settings of a deployment that lists it
+//
+// It exits with 0 after a shutdown that cut nothing off, 1 after the failure of a part, 2 when it could not
+// start, and 3 when the shutdown was cut off.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
+	"oleandertally/core/launcher"
+	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
+	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
+	"oleandertally/entry/runner"
+)
+
+const (
+	// eventsKept is some seconds of the time line at the peak, in about 16 MB.
+	eventsKept = 1 << 16
+	// maxNotice is longer than a balancer that probes each second needs for three misses.
+	maxNotice = 5 * time.Second
+	// faultEvery bounds how often an equal fault is logged.
+	faultEvery = time.Minute
+)
+
+func main() {
+	signals, restore := supervisor.Signals()
+	defer restore()
+	err := run(context.Background(), os.Args[1:], signals, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+	}
+	os.Exit(launcher.Exit(err))
+}
+
+// run returns after a shutdown. The log goes to out.
+func run(ctx context.Context, arguments []string, signals <-chan os.Signal, out io.Writer) error {
+	parsed, err := launcher.ParseArguments("entry", arguments, out)
+	if err != nil {
+		return err
+	}
+	settings, err := launcher.Read(parsed, configurator.Read[configurator.EntrySettings], (*configurator.DeploymentSettings).Entry)
+	if err != nil {
+		return err
+	}
+	log, err := supervisor.NewLogger(out, settings.LogLevel, settings.Name, specifier.Entry)
+	if err != nil {
+		return errors.Mark(err, launcher.ErrSettings)
+	}
+	faults := supervisor.NewFaultLog(log, faultEvery, time.Now)
+	security, err := authenticator.New(settings.Security, authenticator.Peer{Role: specifier.Entry, Name: settings.Name}, time.Now,
+		func(err error) { faults.Report(supervisor.Fields{Event: "CertificateNotReloaded"}, err) })
+	if err != nil {
+		return errors.Mark(err, launcher.ErrSettings)
+	}
+	metrics, health := reporter.NewEntry(), supervisor.NewHealth(runner.Conditions()...)
+	entry := &runner.Entry{Settings: settings, Security: security, Metrics: metrics, Health: health, Log: log,
+		Events: &recorder.Buffer{Cap: eventsKept, Clock: time.Now}, Notice: min(maxNotice, settings.StopWithin/4)}
+	launched := &launcher.Launcher{Process: settings.ProcessSettings, Program: entry, Health: health, Metrics: metrics.Handler(),
+		Log: log, Signals: signals}
+	return launched.Run(ctx)
+}
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -2,131 +2,184 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc"
 
 	"oleandertally/core/attender"
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
+	"oleandertally/core/operator"
 	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
 	"oleandertally/dispatch/scheduler"
 	"oleandertally/entry/answerer"
 	"oleandertally/entry/coordinator"
 	"oleandertally/entry/linker"
 )
 
+// mailboxSize is the number of events that may wait for the control goroutine.
+const mailboxSize = 8192
+
+// The conditions of an entry that is ready.
 const (
-	mailboxSize = 8192
-	maxJobs     = 50_000
+	conditionLease    = "Lease"    // the controllers count the entry as a member
+	conditionProfiles = "Profiles" // a configuration is in force
 )
 
-// Entry is one entry process. Exported fields are set before Run.
+// Conditions are those under which an entry is ready for callers.
+func Conditions() []string { return []string{conditionLease, conditionProfiles} }
+
+// guard says who may call an entry.
+var guard = authenticator.Guard{
+	encoder.Peer_Await_FullMethodName:      {specifier.Entry},
+	encoder.Timeline_Gather_FullMethodName: {authenticator.Operator},
+}
+
+// Entry is one entry process. Exported fields are set before Open.
 type Entry struct {
-	Name        string
-	Zone        string // availability zone
-	Rack        string
-	HTTPAddr    netip.AddrPort // for callers
-	PeerAddr    netip.AddrPort // gRPC, for other entries
-	Controllers []netip.AddrPort
-	Credentials credentials.TransportCredentials
-	Events      *recorder.Buffer
-	Log         zerolog.Logger
-
-	self        atomic.Pointer[specifier.Identity]
-	coordinator *coordinator.Coordinator
-	mailbox     *mailer.Mailbox[coordinator.Event]
-	waiters     *answerer.Waiters
-	proposer    *linker.Proposer
-	agents      *linker.Agents
-	asker       *linker.Asker
+	Settings configurator.EntrySettings
+	Security *authenticator.Authenticator
+	Events   *recorder.Buffer // its Process is set to the identity of the run
+	Metrics  *reporter.Entry
+	Health   *supervisor.Health
+	Log      zerolog.Logger
+	// Notice is how long callers are still answered NotRun after a shutdown began, so that the balancer
+	// has time to see that the entry is not ready.
+	Notice time.Duration
+
+	self     atomic.Pointer[specifier.Identity]
+	mailbox  *mailer.Mailbox[coordinator.Event]
+	drained  chan struct{}
+	waiters  *answerer.Waiters
+	proposer *linker.Proposer
+	agents   *linker.Agents
+	asker    *linker.Asker
+	lease    *attender.Lease
+	pools    pools
+	web      *http.Server
+	server   *grpc.Server
+	callers  net.Listener
+	peers    net.Listener
+	leave    chan struct{} // closed to end the attendance
+	attended chan struct{} // closed when it has ended
 }
 
 // Check returns an error that names the first field that is missing.
 func (e *Entry) Check() error {
 	switch {
-	case e.Name == "":
-		return errors.New("entry: Name: is empty")
-	case e.Zone == "":
-		return errors.New("entry: Zone: is empty")
-	case !e.HTTPAddr.IsValid():
-		return errors.New("entry: HTTPAddr: is missing, expected IP:port")
-	case !e.PeerAddr.IsValid():
-		return errors.New("entry: PeerAddr: is missing, expected IP:port")
-	case len(e.Controllers) == 0:
-		return errors.New("entry: Controllers: is empty")
-	case e.Credentials == nil, e.Events == nil:
-		return errors.New("entry: Credentials, Events: must be set")
+	case len(e.Settings.Controllers) == 0:
+		return errors.New("entry: Settings.Controllers: is empty")
+	case e.Security == nil, e.Events == nil, e.Metrics == nil, e.Health == nil:
+		return errors.New("entry: Security, Events, Metrics, Health: must be set")
 	}
 	return nil
 }
 
-// Run serves until ctx ends.
-func (e *Entry) Run(ctx context.Context) error {
+// Open opens both listeners before anything is announced.
+func (e *Entry) Open() error {
 	if err := e.Check(); err != nil {
 		return err
 	}
-	identity := specifier.Identity{Name: e.Name, Incarnation: specifier.Incarnation(rand.Uint64())}
+	identity := specifier.Identity{Name: e.Settings.Name, Incarnation: specifier.Incarnation(rand.Uint64())}
 	e.self.Store(&identity)
+	e.Events.SetProcess(identity.String())
 	e.mailbox = mailer.NewMailbox[coordinator.Event](mailboxSize)
+	e.drained = make(chan struct{}, 1)
+	e.leave, e.attended = make(chan struct{}), make(chan struct{})
 	e.waiters = &answerer.Waiters{}
-	e.coordinator = coordinator.New(maxJobs, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), &scheduler.Scheduler{})
-	pool := &dialer.Pool{Credentials: e.Credentials}
-	defer pool.Close()
+	e.lease = attender.NewLease()
+	e.pools = newPools(e.Security, int(e.Settings.MaxMessage), &reporter.Bytes{Member: e.Metrics.Member})
+	e.Health.Probe = e.probe
+	var err error
+	if e.callers, err = net.Listen("tcp", e.Settings.HTTPAddr.String()); err != nil {
+		return errors.Wrap(err, "entry: listen on HttpAddr")
+	}
+	if e.peers, err = net.Listen("tcp", e.Settings.PeerAddr.String()); err != nil {
+		e.callers.Close()
+		return errors.Wrap(err, "entry: listen on PeerAddr")
+	}
+	e.serve()
+	return nil
+}
 
-	group, ctx := errgroup.WithContext(ctx)
-	e.proposer = linker.NewProposer()
-	e.proposer.Controllers, e.proposer.Pool, e.proposer.Sink, e.proposer.Log = e.Controllers, pool, e.mailbox, e.Log
-	e.agents = &linker.Agents{Self: e.Self, Pool: pool, Sink: e.mailbox, Log: e.Log, Clock: time.Now, Group: group, Ctx: ctx}
-	e.asker = &linker.Asker{Pool: pool, Sink: e.mailbox, Group: group, Ctx: ctx}
-	attendance := attender.New()
-	attendance.Member = specifier.Member{Identity: identity, Role: specifier.Entry, Addr: e.PeerAddr, Zone: e.Zone, Rack: e.Rack}
-	attendance.Controllers, attendance.Pool, attendance.Log, attendance.Notify = e.Controllers, pool, e.Log, e.notify
+// serve prepares both servers.
+func (e *Entry) serve() {
+	limits := e.Settings.Limits
+	handler := &answerer.Handler{Sink: e.mailbox, Waiters: e.waiters, Clock: time.Now, Admit: e.Security.CheckAnyTeam,
+		Authorize: e.Security.CheckTeam, MaxBody: int64(limits.MaxBody), BodyTimeout: limits.BodyTimeout,
+		Requests: answerer.NewGate(limits.MaxRequests),
+		Refused:  func(answer specifier.Answer) { e.Metrics.Answered(answer.Outcome, answer.Reason) }}
+	e.web = &http.Server{Handler: handler.Routes(), ReadHeaderTimeout: limits.HeaderTimeout, MaxHeaderBytes: 16 << 10}
+	if config := e.Security.CallerTLS(); config != nil {
+		e.callers = tls.NewListener(e.callers, config)
+	}
+	e.server = dialer.NewGuardedServer(e.Security.ServerOptions(guard, e.Settings.MaxMessage)...)
+	encoder.RegisterPeerServer(e.server, &answerer.Peer{Sink: e.mailbox, Waiters: e.waiters})
+	encoder.RegisterTimelineServer(e.server, &operator.Timeline{Buffer: e.Events})
+}
 
-	if err := e.serve(group, ctx); err != nil {
-		return err
+// Run serves until ctx ends, which cuts off what is in flight; Steps end an entry without that. It calls
+// Open unless that was done.
+func (e *Entry) Run(ctx context.Context) error {
+	if e.mailbox == nil {
+		if err := e.Open(); err != nil {
+			return err
+		}
 	}
-	loop := &mailer.Loop[coordinator.Event, coordinator.Action]{Machine: e.coordinator, Mailbox: e.mailbox, Perform: e.perform, Clock: time.Now}
+	defer e.pools.close()
+	group, ctx := errgroup.WithContext(ctx)
+	e.connect(group, ctx)
+	machine := newMeter(coordinator.New(e.Settings.Limits.MaxJobs, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		&scheduler.Scheduler{Zone: e.Settings.Zone, Seed: rand.Uint64()}), e.Metrics)
+	loop := &mailer.Loop[coordinator.Event, coordinator.Action]{Machine: machine, Mailbox: e.mailbox, Perform: e.perform, Clock: time.Now}
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return e.proposer.Run(ctx) })
-	group.Go(func() error { return attendance.Run(ctx) })
+	group.Go(func() error { return e.lease.Run(ctx) })
+	group.Go(func() error { return supervisor.Serve(e.web, e.callers)(ctx) })
+	group.Go(func() error { return errors.Wrap(e.server.Serve(e.peers), "entry: serve entries") })
+	group.Go(func() error { <-ctx.Done(); e.server.Stop(); return nil })
+	e.attend(group, ctx)
 	return group.Wait()
 }
 
-// serve opens both listeners before anything is announced.
-func (e *Entry) serve(group *errgroup.Group, ctx context.Context) error {
-	callers, err := net.Listen("tcp", e.HTTPAddr.String())
-	if err != nil {
-		return errors.Wrap(err, "entry: listen on HTTPAddr")
-	}
-	peers, err := net.Listen("tcp", e.PeerAddr.String())
-	if err != nil {
-		callers.Close()
-		return errors.Wrap(err, "entry: listen on PeerAddr")
+// connect prepares the streams to controllers, agents and other entries.
+func (e *Entry) connect(group *errgroup.Group, ctx context.Context) {
+	e.proposer = linker.NewProposer()
+	e.proposer.Controllers, e.proposer.Pool, e.proposer.Sink, e.proposer.Log = e.Settings.Controllers, e.pools.controllers, e.mailbox, e.Log
+	e.agents = &linker.Agents{Self: e.Self, Pool: e.pools.agents, Sink: e.mailbox, Log: e.Log, Clock: time.Now, Group: group, Ctx: ctx}
+	e.asker = &linker.Asker{Pool: e.pools.entries, Sink: e.mailbox, Group: group, Ctx: ctx}
+	e.lease.Clock = time.Now
+	e.lease.Renewed = func(left time.Duration) {
+		e.Health.Meet(conditionLease)
+		e.Metrics.SetLeaseMargin(left)
 	}
-	handler := &answerer.Handler{Sink: e.mailbox, Waiters: e.waiters, Clock: time.Now, Authorize: func(*http.Request, string) bool { return true }}
-	web := &http.Server{Handler: handler.Routes(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
-	server := dialer.NewServer(e.Credentials)
-	encoder.RegisterPeerServer(server, &answerer.Peer{Sink: e.mailbox, Waiters: e.waiters})
-	group.Go(func() error { return errors.Wrap(web.Serve(callers), "entry: serve callers") })
-	group.Go(func() error { return errors.Wrap(server.Serve(peers), "entry: serve entries") })
+	e.lease.Lapsed = func() { e.Health.Miss(conditionLease, "no controller has renewed it in time") }
+}
+
+// attend attends at the controllers until the entry leaves.
+func (e *Entry) attend(group *errgroup.Group, ctx context.Context) {
+	attendance := attender.New()
+	attendance.Member = specifier.Member{Identity: e.Self(), Role: specifier.Entry, Addr: e.Settings.PeerAddr,
+		Zone: e.Settings.Zone, Rack: e.Settings.Rack}
+	attendance.Controllers, attendance.Pool, attendance.Log, attendance.Notify = e.Settings.Controllers, e.pools.controllers, e.Log, e.notify
 	group.Go(func() error {
-		<-ctx.Done()
-		server.Stop()
-		web.Close()
-		return nil
+		defer close(e.attended)
+		return attendance.RunUntil(ctx, e.leave)
 	})
-	return nil
 }
 
 // Self returns the entry's present identity.
@@ -137,6 +190,9 @@
 	var events []coordinator.Event
 	if !notice.Until.IsZero() {
 		e.self.Store(&notice.Self)
+		if err := e.lease.Renew(ctx, notice.Until); err != nil {
+			return err
+		}
 		events = append(events, coordinator.Identified{Self: notice.Self})
 	}
 	if notice.Members != nil {
@@ -144,6 +200,7 @@
 	}
 	if notice.Configuration != nil {
 		events = append(events, coordinator.Configured{Configuration: *notice.Configuration})
+		e.Health.Meet(conditionProfiles)
 	}
 	for _, event := range events {
 		if err := e.mailbox.Send(ctx, event); err != nil {
@@ -172,6 +229,13 @@
 		e.agents.Put(action.Agent, linker.EncodeFence(action, time.Now()))
 	case coordinator.AskOwner:
 		e.asker.Ask(action)
+	case coordinator.Released:
+		e.agents.Put(action.Agent, linker.EncodeReleased())
+	case coordinator.Drained:
+		select {
+		case e.drained <- struct{}{}:
+		default: // asked twice
+		}
 	case coordinator.Note:
 		e.Events.Add(action.Event)
 	}
--- a/local/assembler/process.go
+++ b/local/assembler/process.go
@@ -3,23 +3,25 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
 // process is one running role.
 type process struct {
+	role   role
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
 // start runs a role in the group until it is killed or ctx ends. A role that ends by itself
 // with an error ends the site.
-func start(ctx context.Context, group *errgroup.Group, run func(context.Context) error) *process {
+func start(ctx context.Context, group *errgroup.Group, role role) *process {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &process{cancel: cancel, done: make(chan struct{})}
+	p := &process{role: role, cancel: cancel, done: make(chan struct{})}
 	group.Go(func() error {
 		defer close(p.done)
-		err := run(ctx)
+		err := role.Run(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -33,3 +35,14 @@
 	p.cancel()
 	<-p.done
 }
+
+// stop runs the steps of a graceful shutdown and then ends the role.
+func (p *process) stop(ctx context.Context) error {
+	defer p.kill()
+	for _, step := range p.role.Steps() {
+		if err := step.Run(ctx); err != nil {
+			return errors.Wrap(err, step.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/local/assembler/role.go
@@ -0,0 +1,13 @@
+package assembler
+
+import (
+	"context"
+
+	"oleandertally/core/supervisor"
+)
+
+// role is what a process runs.
+type role interface {
+	Run(ctx context.Context) error
+	Steps() []supervisor.Step
+}
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"path/filepath"
 	"time"
 
@@ -13,10 +14,14 @@
 
 	agentrunner "oleandertally/agent/runner"
 	"oleandertally/controller/server"
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
 	"oleandertally/core/mailer"
 	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
 	"oleandertally/entry/coordinator"
 	"oleandertally/entry/linker"
 	entryrunner "oleandertally/entry/runner"
@@ -82,6 +87,12 @@
 // KillEntry ends an entry at once.
 func (s *Site) KillEntry(i int) { s.entries[i].kill() }
 
+// StopEntry ends an entry as a planned stop does, and returns when it has left.
+func (s *Site) StopEntry(ctx context.Context, i int) error { return s.entries[i].stop(ctx) }
+
+// StopAgent ends an agent as a planned stop does, and returns when it has left.
+func (s *Site) StopAgent(ctx context.Context, i int) error { return s.agents[i].stop(ctx) }
+
 // RestartEntry starts a killed entry again, as a new incarnation.
 func (s *Site) RestartEntry(i int) { s.entries[i] = s.startEntry(i) }
 
@@ -119,39 +130,51 @@
 	controller := &server.Controller{Name: name, Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
 		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
 		Credentials: insecure.NewCredentials(), Log: s.Log}
-	return start(s.ctx, s.group, controller.Run)
+	return start(s.ctx, s.group, abrupt{controller.Run})
 }
 
-func (s *Site) buffer(name string) *recorder.Buffer {
-	buffer := &recorder.Buffer{Process: name, Cap: eventsKept, Clock: time.Now}
+func (s *Site) buffer() *recorder.Buffer {
+	buffer := &recorder.Buffer{Cap: eventsKept, Clock: time.Now}
 	s.buffers = append(s.buffers, buffer)
 	return buffer
 }
 
 func (s *Site) startAgent(i int) *process {
-	name := fmt.Sprintf("worker-%02d", i+1)
-	agent := &agentrunner.Agent{Name: name, Zone: s.zone(i / perRack), Rack: fmt.Sprintf("rack-%d", i/perRack+1), Service: s.Service,
-		Addr: s.Layout.agent(i), AnnounceAddr: s.Layout.announce(i), Credentials: insecure.NewCredentials(), Events: s.buffer(name), Log: s.Log}
-	for c := range s.Controllers {
-		agent.Controllers = append(agent.Controllers, s.Layout.Controller(c))
-	}
-	return start(s.ctx, s.group, agent.Run)
+	settings := configurator.Defaults[configurator.AgentSettings]()
+	settings.Name, settings.Zone, settings.Rack, settings.Service = fmt.Sprintf("worker-%02d", i+1), s.zone(i/perRack), fmt.Sprintf("rack-%d", i/perRack+1), s.Service
+	settings.AgentAddr, settings.AnnounceAddr, settings.Controllers = s.Layout.agent(i), s.Layout.announce(i), s.controllerAddrs()
+	agent := &agentrunner.Agent{Settings: settings, Security: insecureSite(), Events: s.buffer(), Log: s.Log,
+		Metrics: reporter.NewAgent(), Health: supervisor.NewHealth(agentrunner.Conditions()...)}
+	return start(s.ctx, s.group, agent)
 }
 
 func (s *Site) startUpstream(i int) *process {
 	upstream := &imitator.Upstream{Worker: fmt.Sprintf("worker-%02d", i+1), Addr: s.Layout.upstream(i), AgentAddr: s.Layout.announce(i),
 		Slots: slots, Starts: s.Starts}
-	return start(s.ctx, s.group, upstream.Run)
+	return start(s.ctx, s.group, abrupt{upstream.Run})
 }
 
 func (s *Site) startEntry(i int) *process {
-	name := fmt.Sprintf("entry-%d", i+1)
-	entry := &entryrunner.Entry{Name: name, Zone: s.zone(i), HTTPAddr: s.Layout.Entry(i), PeerAddr: s.Layout.entryPeer(i),
-		Credentials: insecure.NewCredentials(), Events: s.buffer(name), Log: s.Log}
-	for c := range s.Controllers {
-		entry.Controllers = append(entry.Controllers, s.Layout.Controller(c))
+	settings := configurator.Defaults[configurator.EntrySettings]()
+	settings.Name, settings.Zone, settings.Rack = fmt.Sprintf("entry-%d", i+1), s.zone(i), fmt.Sprintf("entry-%d", i+1)
+	settings.HTTPAddr, settings.PeerAddr, settings.Controllers = s.Layout.Entry(i), s.Layout.entryPeer(i), s.controllerAddrs()
+	entry := &entryrunner.Entry{Settings: settings, Security: insecureSite(), Events: s.buffer(), Log: s.Log,
+		Metrics: reporter.NewEntry(), Health: supervisor.NewHealth(entryrunner.Conditions()...)}
+	return start(s.ctx, s.group, entry)
+}
+
+func (s *Site) controllerAddrs() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for i := range s.Controllers {
+		addrs = append(addrs, s.Layout.Controller(i))
 	}
-	return start(s.ctx, s.group, entry.Run)
+	return addrs
+}
+
+// insecureSite returns the authenticator of processes without certificates, which can't fail.
+func insecureSite() *authenticator.Authenticator {
+	security, _ := authenticator.New(configurator.SecuritySettings{Insecure: true}, authenticator.Peer{}, time.Now, func(error) {})
+	return security
 }
 
 // configure puts the profiles and teams in force, as an operator would.
