--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -81,7 +81,7 @@
 	case Released:
 		x.released(event)
 	case Pinged:
-		x.out = append(x.out, Ponged{Number: event.Number})
+		x.out = append(x.out, Ponged(event))
 	}
 	x.start(now)
 	x.depart()
--- a/core/attender/departure.go
+++ b/core/attender/departure.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,52 +23,50 @@
 
 // Run returns nil once the departure is recorded, or an error when ctx ends before that.
 func (d *Departure) Run(ctx context.Context) error {
+	next, addr := 0, d.Controllers[0]
 	var last error
-	for next := 0; ctx.Err() == nil; {
-		leader, err := d.propose(ctx, d.Controllers[next%len(d.Controllers)])
-		if err != nil && leader.IsValid() {
-			leader, err = d.propose(ctx, leader)
-		}
-		if err == nil {
+	for ctx.Err() == nil {
+		decision, err := d.propose(ctx, addr)
+		switch {
+		case err == nil && (decision.Verdict == specifier.Applied || decision.Verdict == specifier.Rejected):
+			// Rejected: the member is not known, or another incarnation has replaced it.
 			return nil
+		case err == nil && decision.Leader.IsValid() && decision.Leader != addr:
+			addr = decision.Leader
+		default:
+			next = (next + 1) % len(d.Controllers)
+			addr = d.Controllers[next]
 		}
 		last = err
-		next++
-		wait(ctx, redialBound)
+		wait(ctx, time.Duration(rand.Int64N(int64(redialBound))))
 	}
 	return errors.CombineErrors(context.Cause(ctx), last)
 }
 
-// propose asks one controller. It returns the leader that the controller names, if any.
-func (d *Departure) propose(ctx context.Context, addr netip.AddrPort) (leader netip.AddrPort, err error) {
+// propose asks one controller for its decision.
+func (d *Departure) propose(ctx context.Context, addr netip.AddrPort) (specifier.Decision, error) {
+	var none specifier.Decision
 	conn, err := d.Pool.Conn(addr)
 	if err != nil {
-		return leader, err
+		return none, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerBound)
 	defer cancel()
 	stream, err := encoder.NewRegistryClient(conn).Propose(ctx)
 	if err != nil {
-		return leader, errors.Wrap(err, "departure: open the stream")
+		return none, errors.Wrap(err, "departure: open the stream")
 	}
 	command := encoder.EncodeCommand(specifier.EndMember{Identity: d.Identity})
 	if err := stream.Send(&encoder.Proposals{Items: []*encoder.Proposal{{Sequence: 1, Command: command}}}); err != nil {
-		return leader, errors.Wrap(err, "departure: send")
+		return none, errors.Wrap(err, "departure: send")
 	}
 	verdicts, err := stream.Recv()
 	if err != nil {
-		return leader, errors.Wrap(err, "departure: receive")
+		return none, errors.Wrap(err, "departure: receive")
 	}
-	for _, item := range verdicts.Items {
-		decision, err := encoder.DecodeDecision(item.Decision)
-		switch {
-		case err != nil:
-			return leader, errors.Wrap(err, "departure: decision")
-		case decision.Verdict == specifier.Applied, decision.Verdict == specifier.Rejected:
-			// Rejected: the member is not known, or another incarnation has replaced it.
-			return leader, nil
-		}
-		return decision.Leader, errors.Newf("departure: the controller answered %s", decision.Verdict)
+	if len(verdicts.Items) != 1 {
+		return none, errors.Newf("departure: the answer has %d decisions, expected 1", len(verdicts.Items))
 	}
-	return leader, errors.New("departure: the controller answered nothing")
+	decision, err := encoder.DecodeDecision(verdicts.Items[0].Decision)
+	return decision, errors.Wrap(err, "departure: decision")
 }
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -57,7 +57,10 @@
 		return &answer
 	}
 	if c.draining {
-		return refuse(specifier.Stopping, "this entry is shutting down")
+		answer := specifier.Refuse(specifier.Stopping, "this entry is shutting down")
+		// Until then every entry answers the key with this refusal.
+		answer.RetryAfter = specifier.RefusalHold
+		return &answer
 	}
 	if !job.spec.Deadline.After(now) {
 		return refuse(specifier.DeadlinePast, "TimeLeft: the deadline has passed")
