--- /dev/null
+++ b/local/programs_test.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"oleandertally/core/operator"
+	"oleandertally/core/recorder"
+	"oleandertally/core/specifier"
+	"oleandertally/local/assembler"
+	"oleandertally/local/imitator"
+	"oleandertally/local/submitter"
+	"oleandertally/replay/tracer"
+)
+
+const readyWithin = 30 * time.Second
+
+// deployment is a site of which the controller and the upstream run in the test.
+const deployment = `Security: {Insecure: true}
+Controllers:
+  - {Name: controller-1, Zone: a, Rack: a, Addr: "%[1]s", MetricsAddr: "%[2]s:7103", DataFolder: data}
+Entries:
+  - {Name: entry-1, Zone: a, Rack: a, StopWithin: 4s, HttpAddr: "%[2]s:7001", PeerAddr: "%[2]s:7002", MetricsAddr: "%[2]s:7003"}
+Agents:
+  - {Name: agent-1, Zone: a, Rack: a, StopWithin: 4s, Service: demo, AgentAddr: "%[2]s:7201", AnnounceAddr: "%[2]s:7202", MetricsAddr: "%[2]s:7203"}
+`
+
+// program is a started binary.
+type program struct {
+	command *exec.Cmd
+	mutex   sync.Mutex
+	log     bytes.Buffer
+}
+
+// Write keeps a part of the log.
+func (p *program) Write(text []byte) (int, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.log.Write(text)
+}
+
+func (p *program) logged(text string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return strings.Contains(p.log.String(), text)
+}
+
+// build returns the folder with the binaries of the entry and the agent.
+func build(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	command := exec.Command("go", "build", "-o", folder+"/", "./entry", "./agent")
+	command.Dir = ".."
+	output, err := command.CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	return folder
+}
+
+func launch(t *testing.T, path string, arguments ...string) *program {
+	t.Helper()
+	p := &program{command: exec.Command(path, arguments...)}
+	p.command.Stderr = p
+	must.NoError(t, p.command.Start())
+	t.Cleanup(func() {
+		if p.command.ProcessState == nil {
+			_ = p.command.Process.Kill()
+			_ = p.command.Wait()
+		}
+		if t.Failed() {
+			t.Logf("%s:\n%s", filepath.Base(path), p.log.String())
+		}
+	})
+	return p
+}
+
+func (p *program) signal(t *testing.T, sent os.Signal) {
+	t.Helper()
+	must.NoError(t, p.command.Process.Signal(sent))
+}
+
+// mustExit waits for the end of the program.
+func (p *program) mustExit(t *testing.T, code int) {
+	t.Helper()
+	_ = p.command.Wait() // an exit code other than 0 is an error
+	must.Eq(t, code, p.command.ProcessState.ExitCode())
+}
+
+func get(url string) (int, string) {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(holds), wait.Timeout(readyWithin), wait.Gap(20*time.Millisecond)), must.Sprint(what))
+}
+
+func mustMetric(t *testing.T, addr, name string, want string) {
+	t.Helper()
+	_, page := get("http://" + addr + "/metrics")
+	for line := range strings.Lines(page) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			must.Eq(t, want, strings.TrimSpace(value), must.Sprint(name))
+			return
+		}
+	}
+	t.Fatalf("no metric %s", name)
+}
+
+// loopback returns a random host number, so that two runs at once do not clash.
+func loopback() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), byte(rand.IntN(250)), 1})
+}
+
+func writeSettings(t *testing.T, controller netip.AddrPort, host netip.Addr) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "site.yaml")
+	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, deployment, controller, host), 0o600))
+	return path
+}
+
+// Guards against programs that do not put the parts together: settings without effect, a health page that
+// lies, empty metrics, a time line that can't be gathered, or a wrong exit code after a planned stop.
+func TestProgramsServeAndStop(t *testing.T) {
+	folder, host := build(t), loopback()
+	site := &assembler.Site{Layout: assembler.Layout{Base: host}, DataFolder: t.TempDir(), Zones: []string{"a"}, Controllers: 1,
+		MemberLease: 3 * time.Second, Profiles: []specifier.Profile{{Name: "quote", Service: "demo"}}}
+	must.NoError(t, site.Start(t.Context()))
+	settings := writeSettings(t, site.Layout.Controller(0), host)
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(host, port) }
+	upstream := &imitator.Upstream{Worker: "agent-1", Addr: at(9000), AgentAddr: at(7202), Slots: 4, Starts: &imitator.StartLog{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return upstream.Run(ctx) })
+
+	agent := launch(t, filepath.Join(folder, "agent"), "-settings", settings, "-name", "agent-1")
+	entry := launch(t, filepath.Join(folder, "entry"), "-settings", settings, "-name", "entry-1")
+	for _, addr := range []netip.AddrPort{at(7003), at(7203)} {
+		awaitTrue(t, "ready", func() bool { code, _ := get("http://" + addr.String() + "/readyz"); return code == http.StatusOK })
+		code, _ := get("http://" + addr.String() + "/livez")
+		must.Eq(t, http.StatusOK, code)
+	}
+	sender := &submitter.Submitter{Entries: []netip.AddrPort{at(7001)}, Client: http.DefaultClient}
+	job := tracer.Job{Team: "web", Profile: "quote", TimeLeftMillis: 20_000, RunMillis: []int{5, 10, 15}}
+	// The entry is ready before its stream to the agent is open: the job waits for that.
+	result := sender.Submit(t.Context(), job, "first")
+	must.NoError(t, result.Err)
+	must.Eq(t, specifier.Complete, result.Response.Outcome, must.Sprint(result.Response))
+	must.Len(t, 3, result.Response.Results)
+
+	t.Run("metrics", func(t *testing.T) {
+		mustMetric(t, at(7003).String(), `oleandertally_entry_requests_total{outcome="Complete",reason="None"}`, "1")
+		mustMetric(t, at(7003).String(), "oleandertally_entry_in_time_total", "1")
+		mustMetric(t, at(7003).String(), "oleandertally_entry_assignments_total", "3")
+		mustMetric(t, at(7003).String(), `oleandertally_entry_response_over_ideal_ratio_count{class="Short"}`, "1")
+		mustMetric(t, at(7003).String(), "oleandertally_entry_record_seconds_count", "1")
+		mustMetric(t, at(7003).String(), `oleandertally_entry_queue_tasks{class="Short"}`, "0")
+		mustMetric(t, at(7003).String(), "oleandertally_configuration_revision", "1")
+		mustMetric(t, at(7203).String(), "oleandertally_configuration_revision", "1")
+		mustMetric(t, at(7203).String(), "oleandertally_agent_starts_total", "3")
+		mustMetric(t, at(7203).String(), "oleandertally_agent_slots", "4")
+		mustMetric(t, at(7203).String(), `oleandertally_agent_run_seconds_count{class="Short"}`, "3")
+	})
+	t.Run("time line", func(t *testing.T) { mustGather(t, "entry-1", at(7002), "agent-1", at(7201)) })
+
+	agent.signal(t, syscall.SIGTERM)
+	agent.mustExit(t, 0)
+	entry.signal(t, syscall.SIGTERM)
+	entry.mustExit(t, 0)
+	cancel()
+	_ = group.Wait() // the upstream ends with the context's error
+	must.NoError(t, site.Stop())
+}
+
+// mustGather asks pairs of a name and an address for their events, and checks that each lane is a run of
+// its process.
+func mustGather(t *testing.T, entry string, entryAddr netip.AddrPort, agent string, agentAddr netip.AddrPort) {
+	t.Helper()
+	client := &operator.Client{Controllers: []netip.AddrPort{entryAddr}, Credentials: insecure.NewCredentials(), Attempt: readyWithin,
+		Rounds: 1, Clock: time.Now, Pause: func(ctx context.Context, _ time.Duration) error { return ctx.Err() }}
+	for name, addr := range map[string]netip.AddrPort{entry: entryAddr, agent: agentAddr} {
+		log, err := client.Gather(t.Context(), addr, recorder.Filter{})
+		must.NoError(t, err)
+		must.SliceNotEmpty(t, log.Events)
+		for _, event := range log.Events {
+			must.StrHasPrefix(t, name+"/", event.Process)
+		}
+	}
+}
+
+// Guards against a process that hides why it ended from the platform that watches it.
+func TestExitCodes(t *testing.T) {
+	folder, host := build(t), loopback()
+	nobody := netip.AddrPortFrom(host, 7101)
+	settings := writeSettings(t, nobody, host)
+	for _, name := range []string{"entry", "agent"} {
+		path := filepath.Join(folder, name)
+		arguments := []string{"-settings", settings, "-name", name + "-1"}
+		t.Run(name+" without settings", func(t *testing.T) { launch(t, path).mustExit(t, 2) })
+		t.Run(name+" with a missing file", func(t *testing.T) { launch(t, path, "-settings", settings+"x").mustExit(t, 2) })
+		t.Run(name+" with an unknown name", func(t *testing.T) {
+			launch(t, path, "-settings", settings, "-name", "x").mustExit(t, 2)
+		})
+		t.Run(name+" cut off by a second signal", func(t *testing.T) {
+			// No controller answers, so that the step Leave can't end.
+			first := launch(t, path, arguments...)
+			awaitTrue(t, "started", func() bool { return first.logged("ProcessStarted") })
+			launch(t, path, arguments...).mustExit(t, 2) // the addresses are taken
+			first.signal(t, syscall.SIGTERM)
+			awaitTrue(t, "leaves", func() bool { return first.logged(`"Step":"Leave"`) })
+			first.signal(t, syscall.SIGINT)
+			first.mustExit(t, 3)
+			must.True(t, first.logged("a second signal arrived"))
+			must.SliceNotEmpty(t, cutOffLines(first))
+		})
+		t.Run(name+" cut off by StopWithin", func(t *testing.T) {
+			late := launch(t, path, arguments...)
+			awaitTrue(t, "started", func() bool { return late.logged("ProcessStarted") })
+			late.signal(t, syscall.SIGTERM)
+			late.mustExit(t, 3)
+			must.SliceNotEmpty(t, cutOffLines(late))
+		})
+	}
+}
+
+// cutOffLines returns the log lines that name the steps that were cut off.
+func cutOffLines(p *program) []string {
+	var found []string
+	for lines := bufio.NewScanner(&p.log); lines.Scan(); {
+		if strings.Contains(lines.Text(), "ShutdownCutOff") && strings.Contains(lines.Text(), `"Steps":["Leave"]`) {
+			found = append(found, lines.Text())
+		}
+	}
+	return found
+}
