Serve gRPC as a part that a shutdown may stop before it runs

entry/runner failed once in a run on a loaded machine: GracefulStop came before the serving goroutine ran, and Serve reported a stopped server as a failure. The agent's meter takes any machine with a load.

--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -163,8 +163,7 @@
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return a.lease.Run(ctx) })
 	group.Go(func() error { return supervisor.Serve(a.web, a.announcements)(ctx) })
-	group.Go(func() error { return errors.Wrap(a.server.Serve(a.entries), "agent: serve entries") })
-	group.Go(func() error { <-ctx.Done(); a.server.Stop(); return nil })
+	group.Go(func() error { return dialer.Serve(a.server, a.entries)(ctx) })
 	group.Go(func() error {
 		defer close(a.attended)
 		return a.attender.RunUntil(ctx, a.leave)
--- a/agent/runner/meter.go
+++ b/agent/runner/meter.go
@@ -12,16 +12,16 @@
 
 // meter counts what passes through the executor. It runs on the control goroutine and does not block.
 type meter struct {
-	executor *executor.Executor
-	metrics  *reporter.Agent
+	machine machine
+	metrics *reporter.Agent
 
 	tasks      map[specifier.TaskKey]measured // queued or running
 	queued     map[reporter.Class]int
 	classifier classifier.Classifier
 }
 
-func newMeter(machine *executor.Executor, metrics *reporter.Agent) *meter {
-	return &meter{executor: machine, metrics: metrics, tasks: make(map[specifier.TaskKey]measured), queued: make(map[reporter.Class]int)}
+func newMeter(machine machine, metrics *reporter.Agent) *meter {
+	return &meter{machine: machine, metrics: metrics, tasks: make(map[specifier.TaskKey]measured), queued: make(map[reporter.Class]int)}
 }
 
 // Step handles one event.
@@ -35,16 +35,16 @@
 	case executor.RunEnded:
 		m.ended(now, event)
 	}
-	return m.actions(now, m.executor.Step(now, event))
+	return m.actions(now, m.machine.Step(now, event))
 }
 
 // Expire handles every deadline that is due.
 func (m *meter) Expire(now time.Time) []executor.Action {
-	return m.actions(now, m.executor.Expire(now))
+	return m.actions(now, m.machine.Expire(now))
 }
 
 // Next returns the earliest deadline.
-func (m *meter) Next() time.Time { return m.executor.Next() }
+func (m *meter) Next() time.Time { return m.machine.Next() }
 
 // dropRefused forgets an assignment that was not taken.
 func (m *meter) dropRefused(key specifier.TaskKey) {
@@ -78,7 +78,7 @@
 			m.metrics.Refused(reporter.Cause(action.Cause))
 		}
 	}
-	load := m.executor.Load()
+	load := m.machine.Load()
 	m.metrics.SetSlots(load.Slots, load.Running)
 	return actions
 }
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -150,8 +150,7 @@
 	group.Go(func() error { return e.proposer.Run(ctx) })
 	group.Go(func() error { return e.lease.Run(ctx) })
 	group.Go(func() error { return supervisor.Serve(e.web, e.callers)(ctx) })
-	group.Go(func() error { return errors.Wrap(e.server.Serve(e.peers), "entry: serve entries") })
-	group.Go(func() error { <-ctx.Done(); e.server.Stop(); return nil })
+	group.Go(func() error { return dialer.Serve(e.server, e.peers)(ctx) })
 	e.attend(group, ctx)
 	return group.Wait()
 }
