Serve the Operator service at the controllers

Operators could not read or change a running site: tally had no server side.

Reads go through the control loop and are answered under the leader's lease; changes are proposals on a stream of their own, so a resend after a change of leader gets the recorded answer. The leader holds the last 64 configurations for compare and revert. Agents report their load with each presence. tally stop counts a worker as idle only when it reports no slots, because a report from before the drain may precede more work. The status shows the last entry synced at each controller; commit and applied indexes are known of the leader alone.

--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -95,11 +95,13 @@
 	a.attender.Member = a.member(0)
 	a.attender.Controllers, a.attender.Pool, a.attender.Log = a.Controllers, pool, a.Log
 	a.attender.Notify = a.notify
+	keeper := &loadKeeper{Executor: a.executor}
+	a.attender.Load = keeper.load.Load
 
 	if err := a.serve(group, ctx); err != nil {
 		return err
 	}
-	loop := &mailer.Loop[executor.Event, executor.Action]{Machine: a.executor, Mailbox: a.mailbox, Perform: a.perform, Clock: time.Now}
+	loop := &mailer.Loop[executor.Event, executor.Action]{Machine: keeper, Mailbox: a.mailbox, Perform: a.perform, Clock: time.Now}
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return a.attender.Run(ctx) })
 	return group.Wait()
--- a/controller/driver/action.go
+++ b/controller/driver/action.go
@@ -6,11 +6,12 @@
 	"oleandertally/state/replicator"
 )
 
-// Action is an output of the log, of the sequencer, or the answer to a request to join: exactly one is set.
+// Action is an output of the log, of the sequencer, or an answer to a request of the network: exactly one is set.
 type Action struct {
 	Log     replicator.Action
 	Control sequencer.Action
 	Joined  *JoinAnswered
+	Read    *ReadAnswered
 	// Image is the state to save, with SaveSnapshot in Log.
 	Image *registrar.Image
 }
--- a/controller/driver/driver.go
+++ b/controller/driver/driver.go
@@ -11,6 +11,7 @@
 
 	"oleandertally/controller/sequencer"
 	"oleandertally/core/encoder"
+	"oleandertally/core/operator"
 	"oleandertally/core/specifier"
 	"oleandertally/state/registrar"
 	"oleandertally/state/replicator"
@@ -30,11 +31,14 @@
 	Names []string
 	// MaxSubmissions bounds the state that is loaded from a snapshot.
 	MaxSubmissions int
-
-	servers []replicator.Server // in force
-	leader  netip.AddrPort      // zero while unknown or while this controller leads
-	offered map[replicator.Index][]byte
-	out     []Action
+	Zone           string // of this controller, for operators
+
+	history    operator.History
+	remembered specifier.Revision  // the newest one in history
+	servers    []replicator.Server // in force
+	leader     netip.AddrPort      // zero while unknown or while this controller leads
+	offered    map[replicator.Index][]byte
+	out        []Action
 }
 
 // Step handles one event.
@@ -46,6 +50,8 @@
 		d.perform(now, d.Node.Step(now, event.Log))
 	case event.Join != nil:
 		d.join(now, *event.Join)
+	case event.Read != nil:
+		d.read(now, *event.Read)
 	default:
 		d.control(now, d.Sequencer.Step(now, event.Control))
 	}
@@ -191,6 +197,7 @@
 			}
 		}
 		d.control(now, d.Sequencer.Step(now, sequencer.Committed{Index: uint64(entry.Index), Term: uint64(entry.Term), Batch: batch}))
+		d.remember()
 	}
 }
 
@@ -204,6 +211,7 @@
 			return
 		}
 		d.Sequencer.Restored(state)
+		d.remember()
 	}
 	d.out = append(d.out, Action{Log: action})
 }
--- a/controller/driver/event.go
+++ b/controller/driver/event.go
@@ -5,11 +5,12 @@
 	"oleandertally/state/replicator"
 )
 
-// Event is an input for the log, for the sequencer, or a request to join: exactly one is set.
+// Event is an input for the log, for the sequencer, or a request of the network: exactly one is set.
 type Event struct {
 	Log     replicator.Event
 	Control sequencer.Event
 	Join    *Join
+	Read    *Read
 	// Content is the content of the snapshot that an InstallSnapshot in Log offers.
 	Content []byte
 }
--- /dev/null
+++ b/controller/driver/status.go
@@ -0,0 +1,73 @@
+package driver
+
+import (
+	"time"
+
+	"oleandertally/core/operator"
+	"oleandertally/core/specifier"
+)
+
+// historyCap is how many configurations are held for operators. One of 1024 profiles is about 200 KiB.
+const historyCap = 64
+
+// read answers from the leader's state. The lease makes sure that no other controller has
+// accepted a newer change.
+func (d *Driver) read(now time.Time, request Read) {
+	answer := ReadAnswered{Ticket: request.Ticket}
+	if !d.Node.Leading(now) {
+		answer.Err = &operator.NotLeaderError{Leader: d.leader}
+	} else {
+		answer.State, answer.Err = d.state(now, request.Revision)
+	}
+	d.out = append(d.out, Action{Read: &answer})
+}
+
+func (d *Driver) state(now time.Time, revision specifier.Revision) (operator.State, error) {
+	registrar := d.Sequencer.Registrar
+	state := operator.State{Configuration: registrar.Configuration(), Operator: registrar.Changed(), Members: registrar.Members(),
+		Controllers: d.controllers(now)}
+	loads := d.Sequencer.Loads()
+	for _, member := range state.Members {
+		if load, known := loads[member.Identity]; known {
+			state.Loads = append(state.Loads, operator.MemberLoad{Identity: member.Identity, Load: load})
+		}
+	}
+	if revision == 0 || revision == state.Configuration.Revision {
+		return state, nil
+	}
+	var err error
+	state.Configuration, err = d.history.At(revision)
+	return state, err
+}
+
+// controllers lists the servers in force as the leader knows them.
+func (d *Driver) controllers(now time.Time) []operator.ControllerStatus {
+	var list []operator.ControllerStatus
+	peers := d.Node.Peers()
+	for _, server := range d.servers {
+		status := operator.ControllerStatus{Name: server.ID.Name, Addr: server.Addr, Learner: !server.Voter, Term: uint64(d.Node.Term())}
+		if server.ID == d.Node.Self {
+			status.Leading, status.Zone = true, d.Zone
+			status.CommitIndex, status.AppliedIndex = uint64(d.Node.Commit()), uint64(d.Node.Applied())
+			status.SyncedIndex = uint64(d.Node.Synced())
+		}
+		for _, peer := range peers {
+			if peer.ID == server.ID {
+				status.SyncedIndex, status.SinceHeard = uint64(peer.Synced), now.Sub(peer.Heard)
+			}
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+// remember keeps the configuration in force for operators who ask for its revision later.
+func (d *Driver) remember() {
+	configuration := d.Sequencer.Registrar.Configuration()
+	if configuration.Revision == d.remembered {
+		return
+	}
+	d.remembered = configuration.Revision
+	d.history.Cap = historyCap
+	d.history.Add(configuration)
+}
--- a/controller/sequencer/attendance.go
+++ b/controller/sequencer/attendance.go
@@ -23,6 +23,9 @@
 		s.attending[e.Stream] = who
 	}
 	who.renewals++
+	if e.Presence.Load != nil {
+		who.load, who.reported = *e.Presence.Load, true
+	}
 	if e.Presence.Member != nil {
 		s.announced(now, e.Stream, who, *e.Presence.Member)
 		return
--- /dev/null
+++ b/controller/server/calls.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"context"
+	"sync"
+
+	"oleandertally/controller/driver"
+	"oleandertally/core/mailer"
+)
+
+// calls ties the network's requests to the answers of the control loop.
+type calls[T any] struct {
+	mailbox *mailer.Mailbox[driver.Event]
+
+	mutex   sync.Mutex
+	last    uint64
+	waiting map[uint64]chan T
+}
+
+// ask sends the event that request makes for a ticket and waits for its answer. It returns the
+// context's error.
+func (c *calls[T]) ask(ctx context.Context, request func(ticket uint64) driver.Event) (T, error) {
+	ticket, answered := c.open()
+	defer c.close(ticket)
+	var none T
+	if err := c.mailbox.Send(ctx, request(ticket)); err != nil {
+		return none, err
+	}
+	select {
+	case answer := <-answered:
+		return answer, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (c *calls[T]) open() (uint64, <-chan T) {
+	answered := make(chan T, 1)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.waiting == nil {
+		c.waiting = make(map[uint64]chan T)
+	}
+	c.last++
+	c.waiting[c.last] = answered
+	return c.last, answered
+}
+
+func (c *calls[T]) close(ticket uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, ticket)
+}
+
+// answer hands over the answer, unless nobody waits for it any more. It does not block.
+func (c *calls[T]) answer(ticket uint64, answer T) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if waiting := c.waiting[ticket]; waiting != nil {
+		waiting <- answer
+		delete(c.waiting, ticket)
+	}
+}
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -19,6 +19,8 @@
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
+	"oleandertally/core/operator"
+	"oleandertally/core/specifier"
 	"oleandertally/state/registrar"
 	"oleandertally/state/replicator"
 	"oleandertally/state/transporter"
@@ -32,6 +34,7 @@
 // Controller is one controller process. Exported fields are set before Run.
 type Controller struct {
 	Name           string
+	Zone           string
 	Addr           netip.AddrPort // gRPC
 	DataFolder     string
 	Peers          []Peer // every controller of the cluster, this one included
@@ -42,12 +45,13 @@
 	Credentials    credentials.TransportCredentials
 	Log            zerolog.Logger
 
-	mailbox  *mailer.Mailbox[driver.Event]
-	registry *registry
-	disk     *disk
-	peers    *peers
-	joins    *joins
-	fault    chan error
+	mailbox   *mailer.Mailbox[driver.Event]
+	registry  *registry
+	disk      *disk
+	peers     *peers
+	joins     *calls[driver.JoinAnswered]
+	operators *operators
+	fault     chan error
 }
 
 // Check returns an error that names the first field that is missing.
@@ -78,7 +82,9 @@
 	}
 	c.mailbox = mailer.NewMailbox[driver.Event](mailboxSize)
 	c.registry = &registry{mailbox: c.mailbox}
-	c.joins = &joins{mailbox: c.mailbox}
+	c.registry.last.Store(uint64(operatorStream))
+	c.joins = &calls[driver.JoinAnswered]{mailbox: c.mailbox}
+	c.operators = &operators{decisions: calls[specifier.Decision]{mailbox: c.mailbox}, reads: calls[driver.ReadAnswered]{mailbox: c.mailbox}}
 	c.fault = make(chan error, 1)
 	disk, recovered, err := openDisk(c.DataFolder, c.Log, c.mailbox)
 	if err != nil {
@@ -102,6 +108,7 @@
 	defer pool.Close()
 	server := dialer.NewServer(c.Credentials)
 	encoder.RegisterRegistryServer(server, c.registry)
+	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read})
 	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins})
 
 	group, ctx := errgroup.WithContext(ctx)
@@ -139,7 +146,7 @@
 		}
 	}
 	machine := &driver.Driver{Node: node, Sequencer: sequencer.New(c.MemberLease, state, node.Leading), Fault: c.fail,
-		MaxSubmissions: c.MaxSubmissions}
+		MaxSubmissions: c.MaxSubmissions, Zone: c.Zone}
 	for _, peer := range c.Peers {
 		machine.Names = append(machine.Names, peer.Name)
 	}
@@ -183,12 +190,18 @@
 
 // perform runs on the control goroutine and does not block.
 func (c *Controller) perform(action driver.Action) {
-	if action.Joined != nil {
-		c.joins.answer(*action.Joined)
-		return
+	switch {
+	case action.Joined != nil:
+		c.joins.answer(uint64(action.Joined.Ticket), *action.Joined)
+	case action.Read != nil:
+		c.operators.reads.answer(action.Read.Ticket, *action.Read)
 	}
 	switch control := action.Control.(type) {
 	case sequencer.Decide:
+		if control.Stream == operatorStream {
+			c.operators.decisions.answer(control.Sequence, control.Decision)
+			break
+		}
 		c.registry.propose.put(control.Stream, &encoder.Verdict{Sequence: control.Sequence, Decision: encoder.EncodeDecision(control.Decision)})
 	case sequencer.Push:
 		c.registry.attend.put(control.Stream, control.Update)
--- a/controller/server/replica.go
+++ b/controller/server/replica.go
@@ -20,7 +20,7 @@
 
 	mailbox *mailer.Mailbox[driver.Event]
 	disk    *disk
-	joins   *joins
+	joins   *calls[driver.JoinAnswered]
 }
 
 // Exchange receives the envelopes of one controller.
@@ -95,5 +95,15 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return r.joins.ask(ctx, server)
+	answered, err := r.joins.ask(ctx, func(ticket uint64) driver.Event {
+		return driver.Event{Join: &driver.Join{Ticket: replicator.Ticket(ticket), Server: server}}
+	})
+	if err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	reply := &transporter.JoinReply{Member: answered.Member, Detail: answered.Detail}
+	if answered.Leader.IsValid() {
+		reply.Leader = answered.Leader.String()
+	}
+	return reply, nil
 }
--- a/core/attender/attender.go
+++ b/core/attender/attender.go
@@ -28,7 +28,9 @@
 	Controllers []netip.AddrPort
 	Pool        *dialer.Pool
 	Notify      func(context.Context, Notice) error // called from one goroutine
-	Log         zerolog.Logger
+	// Load returns what presences report; nil for a member that has none.
+	Load func() *specifier.Load
+	Log  zerolog.Logger
 
 	changes  chan specifier.Member
 	roster   roster
@@ -173,6 +175,9 @@
 		member := a.Member
 		presence.Member = &member
 	}
+	if a.Load != nil {
+		presence.Load = a.Load()
+	}
 	// While an answer is outstanding the earlier time stands, so that a lease is never counted
 	// from a later presence than the one it answers.
 	if a.sent.IsZero() {
--- a/core/encoder/presence.go
+++ b/core/encoder/presence.go
@@ -8,6 +8,9 @@
 	if p.Member != nil {
 		m.Member = EncodeMember(*p.Member)
 	}
+	if p.Load != nil {
+		m.Load = &Load{Slots: int32(p.Load.Slots), Running: int32(p.Load.Running), Queued: int32(p.Load.Queued)}
+	}
 	return m
 }
 
@@ -19,5 +22,11 @@
 		member := c.member("Presence.Member", m.GetMember())
 		p.Member = &member
 	}
+	if load := m.GetLoad(); load != nil {
+		p.Load = &specifier.Load{Slots: int(load.GetSlots()), Running: int(load.GetRunning()), Queued: int(load.GetQueued())}
+		if min(p.Load.Slots, p.Load.Running, p.Load.Queued) < 0 {
+			c.problems.Add("Presence.Load", "has a negative count")
+		}
+	}
 	return p, c.err()
 }
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -10,8 +10,8 @@
 	"google.golang.org/grpc/credentials"
 
 	"oleandertally/core/encoder"
-	"oleandertally/core/recorder"
 	"oleandertally/core/merger"
+	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
 )
 
--- a/core/operator/controllerstatus.go
+++ b/core/operator/controllerstatus.go
@@ -15,5 +15,6 @@
 	Term         uint64
 	CommitIndex  uint64
 	AppliedIndex uint64
+	SyncedIndex  uint64        // last entry known to be durable there
 	SinceHeard   time.Duration // since the leader heard from it; 0 for the leader
 }
--- a/core/operator/messages.go
+++ b/core/operator/messages.go
@@ -25,7 +25,7 @@
 	for _, c := range state.Controllers {
 		m.Controllers = append(m.Controllers, &encoder.ControllerStatus{Name: c.Name, Addr: addressText(c.Addr), Zone: c.Zone,
 			Leading: c.Leading, Learner: c.Learner, Term: c.Term, CommitIndex: c.CommitIndex, AppliedIndex: c.AppliedIndex,
-			SinceHeard: int64(c.SinceHeard)})
+			SinceHeard: int64(c.SinceHeard), SyncedIndex: c.SyncedIndex})
 	}
 	return m
 }
@@ -76,7 +76,8 @@
 	}
 	return ControllerStatus{Name: m.GetName(), Addr: decodeAddr(found, field+".Addr", m.GetAddr()), Zone: m.GetZone(),
 		Leading: m.GetLeading(), Learner: m.GetLearner(), Term: m.GetTerm(), CommitIndex: m.GetCommitIndex(),
-		AppliedIndex: m.GetAppliedIndex(), SinceHeard: time.Duration(m.GetSinceHeard())}
+		AppliedIndex: m.GetAppliedIndex(), SinceHeard: time.Duration(m.GetSinceHeard()),
+		SyncedIndex: m.GetSyncedIndex()}
 }
 
 // decodeAddr accepts the empty text as the zero address.
--- a/core/specifier/presence.go
+++ b/core/specifier/presence.go
@@ -4,4 +4,5 @@
 type Presence struct {
 	Member   *Member // in the first message, and when it changes
 	Revision Revision
+	Load     *Load // of an agent; nil when it is not reported
 }
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -116,7 +116,7 @@
 
 func (s *Site) startController(i int) *process {
 	name := fmt.Sprintf("controller-%d", i+1)
-	controller := &server.Controller{Name: name, Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
+	controller := &server.Controller{Name: name, Zone: s.zone(i), Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
 		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
 		Credentials: insecure.NewCredentials(), Log: s.Log}
 	return start(s.ctx, s.group, controller.Run)
--- /dev/null
+++ b/state/replicator/status.go
@@ -0,0 +1,23 @@
+package replicator
+
+// Commit returns the index of the last entry known to be committed.
+func (n *Node) Commit() Index { return n.commit }
+
+// Synced returns the index of the last entry that is durable at this server.
+func (n *Node) Synced() Index { return n.synced }
+
+// Peers returns what a leader knows of the other servers, sorted by ID, and nothing at a server that does not lead.
+func (n *Node) Peers() []PeerStatus {
+	if n.lead == nil {
+		return nil
+	}
+	peers := make([]PeerStatus, 0, len(n.lead.peers))
+	for _, each := range n.lead.peers {
+		status := PeerStatus{ID: each.id, Synced: each.match, Heard: each.acked}
+		if status.Heard.Before(n.lead.since) {
+			status.Heard = n.lead.since
+		}
+		peers = append(peers, status)
+	}
+	return peers
+}
--- a/tally/fake_test.go
+++ b/tally/fake_test.go
@@ -90,7 +90,7 @@
 			member("worker-1", specifier.Agent, "heredia", specifier.Up), member("worker-2", specifier.Agent, "heredia", specifier.Down),
 			member("worker-3", specifier.Agent, "cartago", specifier.Up)},
 		Loads:       []operator.MemberLoad{{Identity: specifier.Identity{Name: "worker-1", Incarnation: 1}, Load: specifier.Load{Slots: 8, Running: 3, Queued: 1}}},
-		Controllers: []operator.ControllerStatus{{Name: "controller-1", Leading: true, Zone: "heredia", Term: 4, CommitIndex: 90, AppliedIndex: 90, Addr: netip.MustParseAddrPort("127.0.0.1:2")}},
+		Controllers: []operator.ControllerStatus{{Name: "controller-1", Leading: true, Zone: "heredia", Term: 4, CommitIndex: 90, AppliedIndex: 90, SyncedIndex: 91, Addr: netip.MustParseAddrPort("127.0.0.1:2")}},
 	}
 }
 
--- a/tally/status.go
+++ b/tally/status.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"oleandertally/core/operator"
 	"oleandertally/core/specifier"
@@ -62,7 +63,7 @@
 
 func writeStatus(w io.Writer, state operator.State) {
 	fmt.Fprintf(w, "Revision %d by %s\n\n", state.Configuration.Revision, orDash(state.Operator))
-	writeTable(w, []string{"CONTROLLER", "ADDRESS", "ZONE", "ROLE", "TERM", "COMMIT", "APPLIED", "HEARD"}, controllerRows(state))
+	writeTable(w, []string{"CONTROLLER", "ADDRESS", "ZONE", "ROLE", "TERM", "COMMIT", "APPLIED", "SYNCED", "HEARD"}, controllerRows(state))
 	fmt.Fprintln(w)
 	writeTable(w, []string{"ZONE", "UP", "DRAINING", "DOWN", "SLOTS", "RUNNING", "QUEUED"}, zoneRows(state))
 	fmt.Fprintln(w)
@@ -76,15 +77,17 @@
 func controllerRows(state operator.State) [][]string {
 	var rows [][]string
 	for _, s := range state.Controllers {
-		role, heard := "voter", s.SinceHeard.String()+" ago"
+		role, heard := "voter", s.SinceHeard.Round(time.Millisecond).String()+" ago"
+		commit, applied := "-", "-" // known to the leader of itself only
 		switch {
 		case s.Leading:
 			role, heard = "leader", "-"
+			commit, applied = strconv.FormatUint(s.CommitIndex, 10), strconv.FormatUint(s.AppliedIndex, 10)
 		case s.Learner:
 			role = "learner"
 		}
 		rows = append(rows, []string{s.Name, s.Addr.String(), orDash(s.Zone), role, strconv.FormatUint(s.Term, 10),
-			strconv.FormatUint(s.CommitIndex, 10), strconv.FormatUint(s.AppliedIndex, 10), heard})
+			commit, applied, strconv.FormatUint(s.SyncedIndex, 10), heard})
 	}
 	return rows
 }
--- a/tally/stop.go
+++ b/tally/stop.go
@@ -92,7 +92,8 @@
 	for _, target := range targets {
 		member, present := now[target.Name]
 		load, known := state.Load(member.Identity)
-		idle := member.State == specifier.Draining && known && load.Running == 0 && load.Queued == 0
+		// An agent that knows that it drains reports no slots; an earlier report may be out of date.
+		idle := member.State == specifier.Draining && known && load.Slots == 0 && load.Running == 0 && load.Queued == 0
 		if !present || member.State == specifier.Down || idle {
 			p.Ended++
 			continue
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -64,8 +64,8 @@
 		f.assertTally(exitDone, words("status"))
 		must.Eq(t, `Revision 1 by eva
 
-CONTROLLER    ADDRESS      ZONE     ROLE    TERM  COMMIT  APPLIED  HEARD
-controller-1  127.0.0.1:2  heredia  leader  4     90      90       -
+CONTROLLER    ADDRESS      ZONE     ROLE    TERM  COMMIT  APPLIED  SYNCED  HEARD
+controller-1  127.0.0.1:2  heredia  leader  4     90      90       91      -
 
 ZONE     UP  DRAINING  DOWN  SLOTS  RUNNING  QUEUED
 cartago  1   0         0     8      -        -
--- a/tally/timeline.go
+++ b/tally/timeline.go
@@ -12,9 +12,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"oleandertally/core/merger"
 	"oleandertally/core/operator"
 	"oleandertally/core/recorder"
-	"oleandertally/core/merger"
 	"oleandertally/core/specifier"
 )
 
