Make the controller a program with settings, TLS, metrics and a planned stop

A controller ran only inside local. Methods are guarded by the roles of certificates, and a message must name the process whose certificate its connection shows. Figures of the state are read through the control goroutine when /metrics is asked for.

MaxSubmissions is part of each batch now: it was a setting of each replica, and two settings would have decided the same log differently. A batch claims at most 24 h of the log's clock: a site that had been idle for longer proposed an entry that no replica could decode. Commands are decoded again before they are proposed, and a batch is cut at the size of a log entry: one that was larger was refused whole, and again at each resend.

--- a/controller/driver/driver.go
+++ b/controller/driver/driver.go
@@ -29,15 +29,14 @@
 	Fault func(error)
 	// Names are the controllers that may join.
 	Names []string
-	// MaxSubmissions bounds the state that is loaded from a snapshot.
-	MaxSubmissions int
-	Zone           string // of this controller, for operators
+	Zone  string // of this controller, for operators
 
 	history    operator.History
 	remembered specifier.Revision  // the newest one in history
 	servers    []replicator.Server // in force
 	leader     netip.AddrPort      // zero while unknown or while this controller leads
 	offered    map[replicator.Index][]byte
+	leaving    []uint64 // tickets of requests to hand over
 	out        []Action
 }
 
@@ -52,6 +51,10 @@
 		d.join(now, *event.Join)
 	case event.Read != nil:
 		d.read(now, *event.Read)
+	case event.HandOver != nil:
+		d.handOver(now, *event.HandOver)
+	case event.Measure != nil:
+		d.measure(now, *event.Measure)
 	default:
 		d.control(now, d.Sequencer.Step(now, event.Control))
 	}
@@ -148,6 +151,10 @@
 				d.joinAnswered(action.Ticket, string(action.Reason))
 				continue
 			}
+			if action.Ticket >= transferTickets {
+				d.handedOver(string(action.Reason))
+				continue
+			}
 			d.control(now, d.Sequencer.Step(now, sequencer.Rejected{Ticket: sequencer.Ticket(action.Ticket), Verdict: verdict(action.Reason)}))
 		case replicator.Apply:
 			d.apply(now, action.Entries)
@@ -157,9 +164,12 @@
 		case replicator.BecameLeader:
 			d.leader = netip.AddrPort{}
 			d.control(now, d.Sequencer.Step(now, sequencer.Led{}))
+			d.out = append(d.out, Action{Log: action})
 		case replicator.BecameFollower:
 			d.leader = d.addrOf(action.Leader)
 			d.control(now, d.Sequencer.Step(now, sequencer.Followed{Leader: d.leader}))
+			d.handedOver("")
+			d.out = append(d.out, Action{Log: action})
 		case replicator.SaveSnapshot:
 			d.out = append(d.out, Action{Log: action, Image: d.Sequencer.Registrar.Image()})
 		case replicator.Restore:
@@ -182,6 +192,7 @@
 			d.Fault(errors.Wrap(err, "driver: encode a batch"))
 			continue
 		}
+		d.out = append(d.out, Action{Batched: len(submit.Batch.Commands)})
 		d.perform(now, d.Node.Step(now, replicator.Propose{Ticket: replicator.Ticket(submit.Ticket), Data: data}))
 	}
 }
@@ -205,7 +216,7 @@
 // read it with the data folder.
 func (d *Driver) restore(action replicator.Restore) {
 	if content, ok := d.offered[action.Snapshot.Index]; ok {
-		state, err := registrar.Decode(bytes.NewReader(content), d.MaxSubmissions)
+		state, err := registrar.Decode(bytes.NewReader(content), specifier.MaxSubmissions)
 		if err != nil {
 			d.Fault(errors.Wrapf(err, "driver: decode the snapshot at %d", action.Snapshot.Index))
 			return
--- a/controller/driver/event.go
+++ b/controller/driver/event.go
@@ -7,10 +7,12 @@
 
 // Event is an input for the log, for the sequencer, or a request of the network: exactly one is set.
 type Event struct {
-	Log     replicator.Event
-	Control sequencer.Event
-	Join    *Join
-	Read    *Read
+	Log      replicator.Event
+	Control  sequencer.Event
+	Join     *Join
+	Read     *Read
+	HandOver *HandOver
+	Measure  *Measure
 	// Content is the content of the snapshot that an InstallSnapshot in Log offers.
 	Content []byte
 }
--- /dev/null
+++ b/controller/driver/size.go
@@ -0,0 +1,21 @@
+package driver
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"oleandertally/core/encoder"
+	"oleandertally/core/specifier"
+)
+
+// itemOverhead is more than what a batch adds to each of its commands, in bytes.
+const itemOverhead = 16
+
+// size returns the encoded size of a command. It encodes and decodes the command: one that can be
+// proposed but not decoded would stop every replica that applies it.
+func size(command specifier.Command) (int, error) {
+	message := encoder.EncodeCommand(command)
+	if _, err := encoder.DecodeCommand(message); err != nil {
+		return 0, err
+	}
+	return proto.Size(message) + itemOverhead, nil
+}
--- a/controller/sequencer/attendance.go
+++ b/controller/sequencer/attendance.go
@@ -47,7 +47,9 @@
 		s.renewed(now, stream, who)
 		return
 	}
-	s.waiting = append(s.waiting, request{stream: stream, command: specifier.JoinMember{Member: member}})
+	if s.enqueue(request{stream: stream, command: specifier.JoinMember{Member: member}}) != nil {
+		s.expel(stream)
+	}
 }
 
 func (s *Sequencer) joined(now time.Time, stream Stream, member specifier.Member, d specifier.Decision) {
--- a/controller/sequencer/request.go
+++ b/controller/sequencer/request.go
@@ -7,4 +7,5 @@
 	stream   Stream
 	sequence uint64
 	command  specifier.Command
+	size     int // bytes, encoded
 }
--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleandertally/core/specifier"
 	"oleandertally/state/registrar"
 )
@@ -28,6 +30,13 @@
 	Lease     time.Duration // of entries and agents
 	Leading   func(now time.Time) bool
 	Registrar *registrar.Registrar
+	// Size returns the encoded size of a command, or an error for one that can't be decoded again: in
+	// the log it would stop every replica.
+	Size func(specifier.Command) (int, error)
+	// MaxBatch and MaxBytes bound the commands of one batch and their encoded size.
+	MaxBatch       int
+	MaxBytes       int
+	MaxSubmissions int // remembered, in force with the next batch
 
 	leads     bool
 	leader    netip.AddrPort
@@ -44,11 +53,9 @@
 	out       []Action
 }
 
-// New returns a sequencer that does not lead.
-func New(lease time.Duration, state *registrar.Registrar, leading func(time.Time) bool) *Sequencer {
+// New returns a sequencer that does not lead. Its exported fields are still to be set.
+func New(state *registrar.Registrar) *Sequencer {
 	return &Sequencer{
-		Lease:     lease,
-		Leading:   leading,
 		Registrar: state,
 		submitted: make(map[Ticket][]request),
 		logged:    make(map[uint64]loggedBatch),
@@ -97,7 +104,7 @@
 	s.out = nil
 	for _, id := range s.due(now) {
 		s.ending[id] = true
-		s.waiting = append(s.waiting, request{command: specifier.EndMember{Identity: id}})
+		s.enqueue(request{command: specifier.EndMember{Identity: id}})
 	}
 	s.submit(now)
 	return s.out
@@ -143,19 +150,36 @@
 	case len(s.waiting) >= maxWaiting:
 		decide(specifier.Decision{Verdict: specifier.Full})
 	default:
-		s.waiting = append(s.waiting, request{stream: e.Stream, sequence: e.Sequence, command: e.Command})
+		if err := s.enqueue(request{stream: e.Stream, sequence: e.Sequence, command: e.Command}); err != nil {
+			decide(specifier.Decision{Verdict: specifier.Rejected, Detail: err.Error()})
+		}
 	}
 }
 
+// enqueue makes a command wait for the next batch, unless it is not fit for the log.
+func (s *Sequencer) enqueue(r request) error {
+	size, err := s.Size(r.command)
+	if err == nil && size > s.MaxBytes {
+		err = errors.Newf("Command: has %d bytes, expected at most %d", size, s.MaxBytes)
+	}
+	if err != nil {
+		return err
+	}
+	r.size = size
+	s.waiting = append(s.waiting, r)
+	return nil
+}
+
 // submit gives the waiting commands to the log as one batch.
 func (s *Sequencer) submit(now time.Time) {
 	for s.leads && len(s.waiting) > 0 && len(s.submitted)+len(s.logged) < maxInFlight {
-		size := min(len(s.waiting), specifier.MaxBatch)
-		batch := specifier.Batch{Advance: max(now.Sub(s.advanced), 0)}
+		size := s.batchSize()
+		// The rest of a longer time without batches follows with the next ones.
+		batch := specifier.Batch{Advance: min(max(now.Sub(s.advanced), 0), specifier.MaxAdvance), MaxSubmissions: s.MaxSubmissions}
 		for _, request := range s.waiting[:size] {
 			batch.Commands = append(batch.Commands, request.command)
 		}
-		s.advanced = now
+		s.advanced = s.advanced.Add(batch.Advance)
 		s.ticket++
 		s.submitted[s.ticket] = slices.Clone(s.waiting[:size])
 		s.waiting = slices.Delete(s.waiting, 0, size)
@@ -163,6 +187,16 @@
 	}
 }
 
+// batchSize returns how many of the waiting commands fit in one batch, at least one.
+func (s *Sequencer) batchSize() int {
+	size, total := 1, s.waiting[0].size
+	for size < min(len(s.waiting), s.MaxBatch) && total+s.waiting[size].size <= s.MaxBytes {
+		total += s.waiting[size].size
+		size++
+	}
+	return size
+}
+
 func (s *Sequencer) rejected(e Rejected) {
 	for _, request := range s.submitted[e.Ticket] {
 		s.refuse(request, e.Verdict)
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -12,15 +12,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc/credentials"
 
 	"oleandertally/controller/driver"
 	"oleandertally/controller/sequencer"
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
 	"oleandertally/core/operator"
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
 	"oleandertally/state/registrar"
 	"oleandertally/state/replicator"
 	"oleandertally/state/transporter"
@@ -42,16 +45,26 @@
 	MemberLease    time.Duration
 	MaxSubmissions int
 	Consensus      replicator.Settings
-	Credentials    credentials.TransportCredentials
+	MaxBatch       int // commands in one log entry; 0 is specifier.MaxBatch
+	MaxMessage     configurator.ByteSize
+	Security       *authenticator.Authenticator
+	Metrics        *reporter.Controller
+	Health         *supervisor.Health // with Conditions
 	Log            zerolog.Logger
 
-	mailbox   *mailer.Mailbox[driver.Event]
-	registry  *registry
-	disk      *disk
-	peers     *peers
-	joins     *calls[driver.JoinAnswered]
-	operators *operators
-	fault     chan error
+	mailbox    *mailer.Mailbox[driver.Event]
+	registry   *registry
+	disk       *disk
+	peers      *peers
+	joins      *calls[driver.JoinAnswered]
+	operators  *operators
+	handOvers  *calls[driver.HandedOver]
+	measures   *calls[driver.Measured]
+	fault      chan error
+	recovered  recovery
+	machine    *driver.Driver
+	listener   net.Listener
+	openFolder func(path string) (folder, error) // of the file system unless a test injects faults
 }
 
 // Check returns an error that names the first field that is missing.
@@ -69,55 +82,74 @@
 		return errors.New("controller: MemberLease: expected more than 0")
 	case c.MaxSubmissions <= 0:
 		return errors.New("controller: MaxSubmissions: expected more than 0")
-	case c.Credentials == nil:
-		return errors.New("controller: Credentials: must be set")
+	case c.MaxMessage <= 0:
+		return errors.New("controller: MaxMessage: expected more than 0")
+	case c.Security == nil, c.Metrics == nil, c.Health == nil:
+		return errors.New("controller: Security, Metrics, Health: must be set")
 	}
 	return c.Consensus.Check()
 }
 
-// Run serves until ctx ends or the controller can't go on.
-func (c *Controller) Run(ctx context.Context) error {
+// Open reads the data folder and listens, so that a fault of either ends the process at its start.
+func (c *Controller) Open() error {
 	if err := c.Check(); err != nil {
 		return err
 	}
 	c.mailbox = mailer.NewMailbox[driver.Event](mailboxSize)
-	c.registry = &registry{mailbox: c.mailbox}
+	c.registry = &registry{mailbox: c.mailbox, security: c.Security}
 	c.registry.last.Store(uint64(operatorStream))
 	c.joins = &calls[driver.JoinAnswered]{mailbox: c.mailbox}
+	c.handOvers = &calls[driver.HandedOver]{mailbox: c.mailbox}
+	c.measures = &calls[driver.Measured]{mailbox: c.mailbox}
 	c.operators = &operators{decisions: calls[specifier.Decision]{mailbox: c.mailbox}, reads: calls[driver.ReadAnswered]{mailbox: c.mailbox}}
 	c.fault = make(chan error, 1)
-	disk, recovered, err := openDisk(c.DataFolder, c.Log, c.mailbox)
-	if err != nil {
-		return errors.Wrap(err, "controller")
+	var err error
+	if c.disk, c.recovered, err = c.openDisk(); err != nil {
+		return errors.Wrapf(err, "controller: DataFolder %s", c.DataFolder)
+	}
+	if err := c.open(); err != nil {
+		return errors.CombineErrors(err, c.disk.close())
 	}
-	c.disk = disk
-	err = c.serve(ctx, recovered)
-	return errors.CombineErrors(err, disk.close())
+	return nil
 }
 
-func (c *Controller) serve(ctx context.Context, recovered recovery) error {
-	machine, err := c.machine(recovered)
-	if err != nil {
+func (c *Controller) open() error {
+	if err := c.recovered.check(c.Bootstrap, len(c.Peers)); err != nil {
+		return errors.Wrapf(err, "controller: DataFolder %s", c.DataFolder)
+	}
+	var err error
+	if c.machine, err = c.newMachine(c.recovered); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", c.Addr.String())
-	if err != nil {
-		return errors.Wrap(err, "controller: listen on Addr")
+	c.listener, err = net.Listen("tcp", c.Addr.String())
+	return errors.Wrap(err, "controller: listen on Addr")
+}
+
+// Run serves until ctx ends or the controller can't go on. It opens what Open has not opened.
+func (c *Controller) Run(ctx context.Context) error {
+	if c.mailbox == nil {
+		if err := c.Open(); err != nil {
+			return err
+		}
 	}
-	pool := &dialer.Pool{Credentials: c.Credentials}
+	return errors.CombineErrors(c.serve(ctx), c.disk.close())
+}
+
+func (c *Controller) serve(ctx context.Context) error {
+	pool := &dialer.Pool{Credentials: c.Security.ClientCredentials(specifier.Controller, "")}
 	defer pool.Close()
-	server := dialer.NewServer(c.Credentials)
+	server := dialer.NewGuardedServer(c.Security.ServerOptions(guard, c.MaxMessage)...)
 	encoder.RegisterRegistryServer(server, c.registry)
-	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read})
-	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins})
+	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Identify: c.Security.CheckOperator})
+	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security})
 
 	group, ctx := errgroup.WithContext(ctx)
 	c.peers = &peers{group: group, ctx: ctx, pool: pool, disk: c.disk, mailbox: c.mailbox, settings: c.Peers}
-	loop := &mailer.Loop[driver.Event, driver.Action]{Machine: machine, Mailbox: c.mailbox, Perform: c.perform, Clock: time.Now}
+	loop := &mailer.Loop[driver.Event, driver.Action]{Machine: c.machine, Mailbox: c.mailbox, Perform: c.perform, Clock: time.Now}
 	group.Go(func() error { return c.disk.run(ctx) })
 	group.Go(func() error { return c.disk.save(ctx) })
 	group.Go(func() error { return loop.Run(ctx) })
-	group.Go(func() error { return errors.Wrap(server.Serve(listener), "controller: serve") })
+	group.Go(func() error { return errors.Wrap(server.Serve(c.listener), "controller: serve") })
 	group.Go(func() error {
 		defer server.Stop()
 		select {
@@ -127,26 +159,28 @@
 			return context.Cause(ctx)
 		}
 	})
-	group.Go(func() error { return c.begin(ctx, machine.Node.Self, pool) })
+	group.Go(func() error { return c.begin(ctx, c.machine.Node.Self, pool) })
 	return group.Wait()
 }
 
-// machine builds the control state from what the data folder held.
-func (c *Controller) machine(recovered recovery) (*driver.Driver, error) {
+// newMachine builds the control state from what the data folder held.
+func (c *Controller) newMachine(recovered recovery) (*driver.Driver, error) {
 	node := &replicator.Node{Self: replicator.ServerID{Name: c.Name, Disk: recovered.disk}, Settings: c.Consensus,
 		Recovered: recovered.log, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	if err := node.Check(); err != nil {
 		return nil, err
 	}
-	state := registrar.New(c.MaxSubmissions)
+	state := registrar.New(specifier.MaxSubmissions)
 	if recovered.content != nil {
 		var err error
-		if state, err = registrar.Decode(bytes.NewReader(recovered.content), c.MaxSubmissions); err != nil {
+		if state, err = registrar.Decode(bytes.NewReader(recovered.content), specifier.MaxSubmissions); err != nil {
 			return nil, errors.Wrap(err, "controller: the newest snapshot")
 		}
 	}
-	machine := &driver.Driver{Node: node, Sequencer: sequencer.New(c.MemberLease, state, node.Leading), Fault: c.fail,
-		MaxSubmissions: c.MaxSubmissions, Zone: c.Zone}
+	control := sequencer.New(state)
+	control.Lease, control.MaxBatch, control.MaxSubmissions = c.MemberLease, c.MaxBatch, c.MaxSubmissions
+	machine := driver.New(node, control)
+	machine.Fault, machine.Zone = c.fail, c.Zone
 	for _, peer := range c.Peers {
 		machine.Names = append(machine.Names, peer.Name)
 	}
@@ -195,9 +229,16 @@
 		c.joins.answer(uint64(action.Joined.Ticket), *action.Joined)
 	case action.Read != nil:
 		c.operators.reads.answer(action.Read.Ticket, *action.Read)
+	case action.HandedOver != nil:
+		c.handOvers.answer(action.HandedOver.Ticket, *action.HandedOver)
+	case action.Measured != nil:
+		c.measures.answer(action.Measured.Ticket, *action.Measured)
+	case action.Batched > 0:
+		c.Metrics.Batched(action.Batched)
 	}
 	switch control := action.Control.(type) {
 	case sequencer.Decide:
+		c.Metrics.Decided(control.Decision.Verdict)
 		if control.Stream == operatorStream {
 			c.operators.decisions.answer(control.Sequence, control.Decision)
 			break
@@ -207,7 +248,12 @@
 		c.registry.attend.put(control.Stream, control.Update)
 	}
 	switch log := action.Log.(type) {
-	case replicator.Persist, replicator.Append, replicator.Truncate, replicator.Compact, replicator.Restore:
+	case replicator.Persist:
+		if log.State.Vote == c.machine.Node.Self {
+			c.Metrics.Elected()
+		}
+		c.disk.queue.Put(action)
+	case replicator.Append, replicator.Truncate, replicator.Compact, replicator.Restore:
 		c.disk.queue.Put(action)
 	case replicator.SaveSnapshot:
 		c.disk.saves.Put(action)
@@ -217,5 +263,10 @@
 		c.peers.sendSnapshot(log)
 	case replicator.MembershipChanged:
 		c.peers.servers = log.Servers
+	case replicator.BecameLeader:
+		c.Health.Meet(leaderKnown)
+		c.Log.Info().Str("Event", "BecameLeader").Uint64("Term", uint64(log.Term)).Msg("this controller leads")
+	case replicator.BecameFollower:
+		c.followed(log)
 	}
 }
--- a/controller/server/disk.go
+++ b/controller/server/disk.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -22,7 +23,8 @@
 // all that wait while one sync runs share the next one.
 type disk struct {
 	mailbox *mailer.Mailbox[driver.Event]
-	folder  *journaler.Disk
+	folder  folder
+	synced  func(time.Duration) // told how long each synced write took
 	journal *journaler.Journal
 	store   *snapshotter.Store
 	queue   *mailer.Outbox[driver.Action]
@@ -32,19 +34,15 @@
 	received *snapshotter.Receiver
 }
 
-// openDisk reads the data folder at path. It returns what the log recovers and the content of the newest snapshot.
-func openDisk(path string, log zerolog.Logger, mailbox *mailer.Mailbox[driver.Event]) (*disk, recovery, error) {
-	folder, err := journaler.OpenDisk(path)
-	if err != nil {
-		return nil, recovery{}, err
-	}
-	d := &disk{mailbox: mailbox, folder: folder, queue: mailer.NewOutbox[driver.Action](), saves: mailer.NewOutbox[driver.Action]()}
+// openDisk reads the data folder and closes it after an error. It returns what the log recovers and the content of the newest snapshot.
+func openDisk(folder folder, log zerolog.Logger, mailbox *mailer.Mailbox[driver.Event]) (*disk, recovery, error) {
+	d := &disk{mailbox: mailbox, folder: folder, synced: func(time.Duration) {}, queue: mailer.NewOutbox[driver.Action](), saves: mailer.NewOutbox[driver.Action]()}
 	d.journal = &journaler.Journal{Folder: folder, Disk: rand.Uint64(), Log: log}
 	d.store = &snapshotter.Store{Folder: folder, Log: log}
 	recovered, err := d.recover()
 	if err != nil {
 		folder.Close()
-		return nil, recovery{}, errors.Wrapf(err, "data folder %s", path)
+		return nil, recovery{}, err
 	}
 	return d, recovered, nil
 }
@@ -139,7 +137,7 @@
 		case replicator.Compact:
 			operations = append(operations, journaler.Compact{Through: uint64(action.Through)})
 		case replicator.Restore:
-			if err := d.journal.Commit(operations...); err != nil {
+			if err := d.commit(operations); err != nil {
 				return 0, err
 			}
 			if err := d.install(); err != nil {
@@ -148,7 +146,20 @@
 			operations, last = []journaler.Operation{journaler.Reset{Index: uint64(action.Snapshot.Index)}}, action.Write
 		}
 	}
-	return last, d.journal.Commit(operations...)
+	return last, d.commit(operations)
+}
+
+// commit makes the operations durable in one write.
+func (d *disk) commit(operations []journaler.Operation) error {
+	if len(operations) == 0 {
+		return nil
+	}
+	began := time.Now()
+	if err := d.journal.Commit(operations...); err != nil {
+		return err
+	}
+	d.synced(time.Since(began))
+	return nil
 }
 
 func encodeRecords(entries []replicator.Entry) ([]journaler.Record, error) {
--- /dev/null
+++ b/controller/server/fromsettings.go
@@ -0,0 +1,22 @@
+package server
+
+import (
+	"oleandertally/core/configurator"
+	"oleandertally/state/replicator"
+)
+
+// FromSettings returns a controller of which Security, Metrics, Health and Log are still to be set.
+func FromSettings(settings configurator.ControllerSettings) *Controller {
+	consensus := replicator.Defaults()
+	consensus.Heartbeat, consensus.Lease = settings.Heartbeat, settings.LeaderLease
+	consensus.ElectionTimeout, consensus.SnapshotEvery = settings.ElectionTimeout, settings.SnapshotAfter
+	// A follower that was away for a quarter of the time between two snapshots needs no snapshot.
+	consensus.KeepEntries = settings.SnapshotAfter / 4
+	c := &Controller{Name: settings.Name, Zone: settings.Zone, Addr: settings.Addr, DataFolder: settings.DataFolder,
+		MemberLease: settings.MemberLease, MaxSubmissions: settings.MaxSubmissions, MaxBatch: settings.MaxBatch,
+		MaxMessage: settings.MaxMessage, Consensus: consensus}
+	for _, peer := range settings.Peers {
+		c.Peers = append(c.Peers, Peer{Name: peer.Name, Addr: peer.Addr})
+	}
+	return c
+}
--- /dev/null
+++ b/controller/server/guard.go
@@ -0,0 +1,32 @@
+package server
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"oleandertally/core/authenticator"
+	"oleandertally/core/encoder"
+	"oleandertally/core/specifier"
+	"oleandertally/state/transporter"
+)
+
+// guard says who may call what at a controller.
+var guard = authenticator.Guard{
+	encoder.Registry_Propose_FullMethodName:     {specifier.Entry},
+	encoder.Registry_Attend_FullMethodName:      {specifier.Entry, specifier.Agent},
+	encoder.Operator_Read_FullMethodName:        {authenticator.Operator},
+	encoder.Operator_Change_FullMethodName:      {authenticator.Operator},
+	transporter.Replica_Exchange_FullMethodName: {specifier.Controller},
+	transporter.Replica_Install_FullMethodName:  {specifier.Controller},
+	transporter.Replica_Join_FullMethodName:     {specifier.Controller},
+}
+
+// checkPeer refuses a message that names another process than the certificate of its connection.
+func checkPeer(ctx context.Context, security *authenticator.Authenticator, role specifier.Role, name string) error {
+	if err := security.CheckPeer(ctx, authenticator.Peer{Role: role, Name: name}); err != nil {
+		return status.Error(codes.PermissionDenied, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/server/health.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"context"
+
+	"oleandertally/controller/driver"
+	"oleandertally/state/replicator"
+)
+
+// leaderKnown is the condition of readiness: without a leader the controllers decide nothing.
+const leaderKnown = "LeaderKnown"
+
+// Conditions returns those of readiness, for supervisor.NewHealth.
+func Conditions() []string { return []string{leaderKnown} }
+
+// Probe passes an event through the control goroutine.
+func (c *Controller) Probe(ctx context.Context) error {
+	_, err := c.measure(ctx)
+	return err
+}
+
+func (c *Controller) measure(ctx context.Context) (driver.Measured, error) {
+	return c.measures.ask(ctx, func(ticket uint64) driver.Event {
+		return driver.Event{Measure: &driver.Measure{Ticket: ticket}}
+	})
+}
+
+func (c *Controller) followed(log replicator.BecameFollower) {
+	if log.Leader.IsZero() {
+		c.Health.Miss(leaderKnown, "no leader is known")
+	} else {
+		c.Health.Meet(leaderKnown)
+	}
+	c.Log.Info().Str("Event", "BecameFollower").Uint64("Term", uint64(log.Term)).Str("Peer", log.Leader.Name).Msg("this controller does not lead")
+}
--- /dev/null
+++ b/controller/server/openfolder.go
@@ -0,0 +1,21 @@
+package server
+
+import "oleandertally/state/journaler"
+
+// openDisk opens and reads the data folder.
+func (c *Controller) openDisk() (*disk, recovery, error) {
+	open := c.openFolder
+	if open == nil {
+		open = func(path string) (folder, error) { return journaler.OpenDisk(path) }
+	}
+	opened, err := open(c.DataFolder)
+	if err != nil {
+		return nil, recovery{}, err
+	}
+	d, recovered, err := openDisk(opened, c.Log, c.mailbox)
+	if err != nil {
+		return nil, recovery{}, err
+	}
+	d.synced = c.Metrics.Synced
+	return d, recovered, nil
+}
--- a/controller/server/recovery.go
+++ b/controller/server/recovery.go
@@ -1,6 +1,10 @@
 package server
 
-import "oleandertally/state/replicator"
+import (
+	"github.com/cockroachdb/errors"
+
+	"oleandertally/state/replicator"
+)
 
 // recovery is what a data folder held at the start.
 type recovery struct {
@@ -8,3 +12,24 @@
 	log     replicator.Recovered
 	content []byte // of the newest snapshot; nil when there is none
 }
+
+// isNew reports whether the folder never took part in a cluster. The term of a bootstrap that a crash
+// interrupted counts as new: no leader has term 1.
+func (r recovery) isNew() bool {
+	return r.log.State.Term <= 1 && len(r.log.Entries) == 0 && r.log.Snapshot.Index == 0
+}
+
+// check refuses a start that the folder does not fit. peers counts this controller too.
+func (r recovery) check(bootstrap bool, peers int) error {
+	switch {
+	case r.log.Snapshot.Index > 0 && r.log.State.Term == 0:
+		// A snapshot is installed only after the term is in the journal.
+		return errors.Newf("there is a snapshot that ends at %d, but the journal is new: the folder lost its journal and with it "+
+			"its votes; replace this controller: empty the folder and start it without -bootstrap", r.log.Snapshot.Index)
+	case bootstrap && !r.isNew():
+		return errors.New("-bootstrap begins a new cluster, but the folder is not new; start without it")
+	case !bootstrap && r.isNew() && peers == 1:
+		return errors.New("the folder is new and Peers lists no other controller to join; begin a new cluster with -bootstrap")
+	}
+	return nil
+}
--- a/controller/server/registry.go
+++ b/controller/server/registry.go
@@ -10,6 +10,7 @@
 
 	"oleandertally/controller/driver"
 	"oleandertally/controller/sequencer"
+	"oleandertally/core/authenticator"
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
 	"oleandertally/core/specifier"
@@ -19,10 +20,11 @@
 type registry struct {
 	encoder.UnimplementedRegistryServer
 
-	mailbox *mailer.Mailbox[driver.Event]
-	last    atomic.Uint64
-	propose streams[*encoder.Verdict]
-	attend  streams[specifier.Update]
+	mailbox  *mailer.Mailbox[driver.Event]
+	security *authenticator.Authenticator
+	last     atomic.Uint64
+	propose  streams[*encoder.Verdict]
+	attend   streams[specifier.Update]
 }
 
 // Propose carries commands to the log and their decisions back.
@@ -106,6 +108,11 @@
 			if err != nil {
 				return status.Error(codes.InvalidArgument, err.Error())
 			}
+			if member := presence.Member; member != nil {
+				if err := checkPeer(ctx, r.security, member.Role, member.Name); err != nil {
+					return err
+				}
+			}
 			event := sequencer.Attended{Stream: id, Presence: presence}
 			if err := r.mailbox.Send(ctx, driver.Event{Control: event}); err != nil {
 				return err
--- a/controller/server/replica.go
+++ b/controller/server/replica.go
@@ -8,7 +8,9 @@
 	"google.golang.org/grpc/status"
 
 	"oleandertally/controller/driver"
+	"oleandertally/core/authenticator"
 	"oleandertally/core/mailer"
+	"oleandertally/core/specifier"
 	"oleandertally/state/replicator"
 	"oleandertally/state/snapshotter"
 	"oleandertally/state/transporter"
@@ -18,9 +20,10 @@
 type replica struct {
 	transporter.UnimplementedReplicaServer
 
-	mailbox *mailer.Mailbox[driver.Event]
-	disk    *disk
-	joins   *calls[driver.JoinAnswered]
+	mailbox  *mailer.Mailbox[driver.Event]
+	disk     *disk
+	joins    *calls[driver.JoinAnswered]
+	security *authenticator.Authenticator
 }
 
 // Exchange receives the envelopes of one controller.
@@ -37,6 +40,9 @@
 		if err != nil {
 			return status.Error(codes.InvalidArgument, err.Error())
 		}
+		if err := checkPeer(stream.Context(), r.security, specifier.Controller, envelope.From.Name); err != nil {
+			return err
+		}
 		if _, ok := envelope.Message.(replicator.InstallSnapshot); ok {
 			return status.Error(codes.InvalidArgument, "Envelope.Message: a snapshot comes by Install")
 		}
@@ -81,6 +87,10 @@
 		r.disk.drop(receiver)
 		return status.Error(codes.InvalidArgument, "Chunk.Envelope: expected InstallSnapshot of the same index")
 	}
+	if err := checkPeer(stream.Context(), r.security, specifier.Controller, envelope.From.Name); err != nil {
+		r.disk.drop(receiver)
+		return err
+	}
 	content, err := receiver.Content()
 	if err != nil {
 		r.disk.drop(receiver)
@@ -95,6 +105,9 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if err := checkPeer(ctx, r.security, specifier.Controller, server.ID.Name); err != nil {
+		return nil, err
+	}
 	answered, err := r.joins.ask(ctx, func(ticket uint64) driver.Event {
 		return driver.Event{Join: &driver.Join{Ticket: replicator.Ticket(ticket), Server: server}}
 	})
--- /dev/null
+++ b/controller/server/stop.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandertally/controller/driver"
+	"oleandertally/core/supervisor"
+)
+
+// Steps are those of a planned stop, while Run goes on.
+func (c *Controller) Steps() []supervisor.Step {
+	return []supervisor.Step{{Name: "HandOver", Run: c.HandOver}}
+}
+
+// HandOver gives the leadership to another voter and returns once this controller does not lead. It returns
+// an error when no other voter can take it; stopping is safe then too, but the others elect a leader
+// only after the election timeout.
+func (c *Controller) HandOver(ctx context.Context) error {
+	for {
+		answer, err := c.handOverOnce(ctx)
+		switch {
+		case err == nil && answer.Detail == "":
+			return nil
+		case err == nil:
+			return errors.Newf("controller: this controller still leads: %s", answer.Detail)
+		case ctx.Err() != nil:
+			return err
+		}
+	}
+}
+
+// handOverOnce gives up after two election timeouts: a transfer to a voter that does not catch up within one
+// has ended without an answer.
+func (c *Controller) handOverOnce(ctx context.Context) (driver.HandedOver, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(2*c.Consensus.ElectionTimeout, time.Second))
+	defer cancel()
+	return c.handOvers.ask(ctx, func(ticket uint64) driver.Event {
+		return driver.Event{HandOver: &driver.HandOver{Ticket: ticket}}
+	})
+}
--- a/core/configurator/controllersettings.go
+++ b/core/configurator/controllersettings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"oleandertally/core/specifier"
 )
 
 // ControllerSettings are the settings of one controller.
@@ -59,8 +61,8 @@
 	c.dialed("Addr", s.Addr)
 	c.text("DataFolder", s.DataFolder, "a folder")
 	s.checkTimes(c)
-	inRange(c, "MaxSubmissions", s.MaxSubmissions, 1_000, 10_000_000)
-	inRange(c, "MaxBatch", s.MaxBatch, 1, 100_000)
+	inRange(c, "MaxSubmissions", s.MaxSubmissions, 1_000, specifier.MaxSubmissions)
+	inRange(c, "MaxBatch", s.MaxBatch, 1, specifier.MaxBatch)
 	inRange(c, "SnapshotAfter", s.SnapshotAfter, 100, 10_000_000)
 	used.add(c, "Addr", s.Addr, s.Addr)
 	used.add(c, "MetricsAddr", s.Addr, s.MetricsAddr)
--- a/core/dialer/server.go
+++ b/core/dialer/server.go
@@ -16,6 +16,13 @@
 		grpc.Creds(credentials),
 		grpc.MaxRecvMsgSize(encoder.MaxMessage),
 		grpc.MaxSendMsgSize(encoder.MaxMessage),
+	)
+	return NewGuardedServer(options...)
+}
+
+// NewGuardedServer returns a gRPC server whose credentials and bounds on messages are in options.
+func NewGuardedServer(options ...grpc.ServerOption) *grpc.Server {
+	options = append(options,
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
 	)
--- a/core/encoder/batch.go
+++ b/core/encoder/batch.go
@@ -1,18 +1,10 @@
 package encoder
 
-import (
-	"time"
-
-	"oleandertally/core/specifier"
-)
-
-// maxAdvance bounds one step of the log's clock: a batch that claims more would make every
-// replica forget its submissions at once.
-const maxAdvance = 24 * time.Hour
+import "oleandertally/core/specifier"
 
 // EncodeBatch returns the content of one log entry.
 func EncodeBatch(batch specifier.Batch) *LogBatch {
-	m := &LogBatch{Advance: int64(batch.Advance)}
+	m := &LogBatch{Advance: int64(batch.Advance), MaxSubmissions: uint32(batch.MaxSubmissions)}
 	for _, command := range batch.Commands {
 		m.Commands = append(m.Commands, EncodeCommand(command))
 	}
@@ -22,7 +14,10 @@
 // DecodeBatch accepts at most MaxBatch commands. Errors name the command by its position.
 func DecodeBatch(m *LogBatch) (specifier.Batch, error) {
 	c := &checker{}
-	batch := specifier.Batch{Advance: c.span("LogBatch.Advance", m.GetAdvance(), 0, maxAdvance)}
+	batch := specifier.Batch{Advance: c.span("LogBatch.Advance", m.GetAdvance(), 0, specifier.MaxAdvance), MaxSubmissions: int(m.GetMaxSubmissions())}
+	if batch.MaxSubmissions > specifier.MaxSubmissions {
+		c.problems.Add("LogBatch.MaxSubmissions", "is %d, expected at most %d", batch.MaxSubmissions, specifier.MaxSubmissions)
+	}
 	if c.length("LogBatch.Commands", len(m.GetCommands()), specifier.MaxBatch) {
 		for i, item := range m.GetCommands() {
 			batch.Commands = append(batch.Commands, c.item(indexed("LogBatch.Commands", i), item))
--- a/core/operator/call.go
+++ b/core/operator/call.go
@@ -44,6 +44,8 @@
 		return ErrNotHeld
 	case codes.Unimplemented:
 		return errors.Newf("the process has no Operator service, so it is not a controller: %s", plain(err))
+	case codes.Unauthenticated, codes.PermissionDenied:
+		return errors.Newf("the controller does not admit the request: %s", plain(err))
 	case codes.InvalidArgument:
 		return errors.Newf("the controller refuses the request: %s", plain(err))
 	}
--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -11,16 +11,22 @@
 	"oleandertally/core/specifier"
 )
 
-// Server is the Operator service of a controller. Both fields are set before it is registered;
-// they are called from many goroutines.
+// Server is the Operator service of a controller. Fields are set before it is registered; they
+// are called from many goroutines.
 type Server struct {
 	encoder.UnimplementedOperatorServer
 	Propose Propose
 	State   Read
+	// Identify returns the operator whose token came with a call, or an error when it is not valid. An
+	// empty name leaves that of the request as it is. Nil admits everybody.
+	Identify func(ctx context.Context) (string, error)
 }
 
 // Read answers with the state, or with the leader's address.
 func (s *Server) Read(ctx context.Context, request *encoder.ReadRequest) (*encoder.ReadReply, error) {
+	if _, err := s.identify(ctx); err != nil {
+		return nil, err
+	}
 	state, err := s.State(ctx, specifier.Revision(request.GetRevision()))
 	var elsewhere *NotLeaderError
 	switch {
@@ -36,6 +42,13 @@
 
 // Change proposes the command of the request.
 func (s *Server) Change(ctx context.Context, request *encoder.ChangeRequest) (*encoder.ChangeReply, error) {
+	name, err := s.identify(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if name != "" && name != request.GetOperator() {
+		return nil, status.Errorf(codes.PermissionDenied, "Operator: is %.64q, but the token is that of %q", request.GetOperator(), name)
+	}
 	command, err := encoder.DecodeCommand(request.GetCommand())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
@@ -54,6 +67,9 @@
 func permitted(request *encoder.ChangeRequest, command specifier.Command) error {
 	switch command := command.(type) {
 	case specifier.ChangeConfiguration:
+		if command.Operator != request.GetOperator() {
+			return errors.Newf("Operator: is %.64q, but the command has %.64q", request.GetOperator(), command.Operator)
+		}
 		if command.RequestID != request.GetRequestId() {
 			return errors.Newf("RequestId: is %.64q, but the command has %.64q", request.GetRequestId(), command.RequestID)
 		}
@@ -63,3 +79,14 @@
 	}
 	return errors.Newf("Command: is a %T, expected ChangeConfiguration or DrainMember", command)
 }
+
+func (s *Server) identify(ctx context.Context) (string, error) {
+	if s.Identify == nil {
+		return "", nil
+	}
+	name, err := s.Identify(ctx)
+	if err != nil {
+		return "", status.Error(codes.Unauthenticated, err.Error())
+	}
+	return name, nil
+}
--- a/core/specifier/batch.go
+++ b/core/specifier/batch.go
@@ -8,4 +8,8 @@
 type Batch struct {
 	Advance  time.Duration
 	Commands []Command
+	// MaxSubmissions is the leader's bound on remembered submissions. It is part of the log because
+	// decisions depend on it: replicas with bounds of their own would decide differently. 0 leaves
+	// the former bound.
+	MaxSubmissions int
 }
--- a/core/specifier/limits.go
+++ b/core/specifier/limits.go
@@ -29,6 +29,11 @@
 	MaxSlots = 4096
 	// MaxBatch is the largest number of commands in one log entry.
 	MaxBatch = 4096
+	// MaxSubmissions is the largest bound on remembered submissions that a controller may be given.
+	MaxSubmissions = 10_000_000
+	// MaxAdvance is the longest step of the log's clock in one batch: a batch that claims more would
+	// make every replica forget its submissions at once.
+	MaxAdvance = 24 * time.Hour
 	// MaxName is the longest key, team, profile, task or member name, in bytes.
 	MaxName = 128
 	// MaxTimeLeft bounds how far ahead a deadline may lie.
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -13,10 +14,15 @@
 
 	agentrunner "oleandertally/agent/runner"
 	"oleandertally/controller/server"
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
 	"oleandertally/core/recorder"
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
+	"oleandertally/core/supervisor"
 	"oleandertally/entry/coordinator"
 	"oleandertally/entry/linker"
 	entryrunner "oleandertally/entry/runner"
@@ -117,11 +123,27 @@
 func (s *Site) startController(i int) *process {
 	name := fmt.Sprintf("controller-%d", i+1)
 	controller := &server.Controller{Name: name, Zone: s.zone(i), Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
-		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
-		Credentials: insecure.NewCredentials(), Log: s.Log}
+		Bootstrap: i == 0 && s.isNew(name), MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, MaxMessage: encoder.MaxMessage,
+		Consensus: replicator.Defaults(), Security: insecureSite(), Metrics: reporter.NewController(),
+		Health: supervisor.NewHealth(server.Conditions()...), Log: s.Log}
 	return start(s.ctx, s.group, controller.Run)
 }
 
+// isNew reports whether the controller called name never ran. Only then it may begin a cluster.
+func (s *Site) isNew(name string) bool {
+	_, err := os.Stat(filepath.Join(s.DataFolder, name))
+	return errors.Is(err, os.ErrNotExist)
+}
+
+// insecureSite admits everybody: the site is on loopback.
+func insecureSite() *authenticator.Authenticator {
+	security, err := authenticator.New(configurator.SecuritySettings{Insecure: true}, authenticator.Peer{}, time.Now, func(error) {})
+	if err != nil {
+		panic(err) // without certificates there is nothing to read
+	}
+	return security
+}
+
 func (s *Site) buffer(name string) *recorder.Buffer {
 	buffer := &recorder.Buffer{Process: name, Cap: eventsKept, Clock: time.Now}
 	s.buffers = append(s.buffers, buffer)
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -10,7 +10,7 @@
 // Registrar applies committed batches. It is used by one goroutine.
 type Registrar struct {
 	// MaxSubmissions bounds the remembered submissions; more are refused, none is forgotten
-	// early. It must be the same on every controller, because decisions depend on it.
+	// early. Decisions depend on it, so every batch that sets it changes it on all controllers.
 	MaxSubmissions int
 
 	now           time.Time // the log's clock, from time.Unix(0, 0)
@@ -49,6 +49,9 @@
 func (r *Registrar) Apply(index uint64, batch Batch) []specifier.Decision {
 	r.index = index
 	r.now = r.now.Add(max(batch.Advance, 0))
+	if batch.MaxSubmissions > 0 {
+		r.MaxSubmissions = batch.MaxSubmissions
+	}
 	r.forget()
 	r.forgetMembers()
 	r.requests.forget(r.now)
