--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -158,7 +158,9 @@
 	a.attender.Member = a.member(0)
 	a.attender.Controllers, a.attender.Pool, a.attender.Log = a.Settings.Controllers, a.pool, a.Log
 	a.attender.Notify = a.notify
-	machine := newMeter(executor.New(a.Settings.MaxQueue, heldBytes), a.Metrics)
+	keeper := &loadKeeper{Executor: executor.New(a.Settings.MaxQueue, heldBytes)}
+	a.attender.Load = keeper.load.Load
+	machine := newMeter(keeper, a.Metrics)
 	loop := &mailer.Loop[executor.Event, executor.Action]{Machine: machine, Mailbox: a.mailbox, Perform: a.perform, Clock: time.Now}
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return a.lease.Run(ctx) })
--- a/controller/driver/event.go
+++ b/controller/driver/event.go
@@ -5,11 +5,14 @@
 	"oleandertally/state/replicator"
 )
 
-// Event is an input for the log, for the sequencer, or a request to join: exactly one is set.
+// Event is an input for the log, for the sequencer, or a request of the network: exactly one is set.
 type Event struct {
-	Log     replicator.Event
-	Control sequencer.Event
-	Join    *Join
+	Log      replicator.Event
+	Control  sequencer.Event
+	Join     *Join
+	Read     *Read
+	HandOver *HandOver
+	Measure  *Measure
 	// Content is the content of the snapshot that an InstallSnapshot in Log offers.
 	Content []byte
 }
--- a/controller/sequencer/attendance.go
+++ b/controller/sequencer/attendance.go
@@ -23,6 +23,9 @@
 		s.attending[e.Stream] = who
 	}
 	who.renewals++
+	if e.Presence.Load != nil {
+		who.load, who.reported = *e.Presence.Load, true
+	}
 	if e.Presence.Member != nil {
 		s.announced(now, e.Stream, who, *e.Presence.Member)
 		return
@@ -44,7 +47,9 @@
 		s.renewed(now, stream, who)
 		return
 	}
-	s.waiting = append(s.waiting, request{stream: stream, command: specifier.JoinMember{Member: member}})
+	if s.enqueue(request{stream: stream, command: specifier.JoinMember{Member: member}}) != nil {
+		s.expel(stream)
+	}
 }
 
 func (s *Sequencer) joined(now time.Time, stream Stream, member specifier.Member, d specifier.Decision) {
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -17,6 +18,7 @@
 	"oleandertally/core/authenticator"
 	"oleandertally/core/configurator"
 	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
 	"oleandertally/core/recorder"
 	"oleandertally/core/reporter"
@@ -127,12 +129,28 @@
 
 func (s *Site) startController(i int) *process {
 	name := fmt.Sprintf("controller-%d", i+1)
-	controller := &server.Controller{Name: name, Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
-		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
-		Credentials: insecure.NewCredentials(), Log: s.Log}
+	controller := &server.Controller{Name: name, Zone: s.zone(i), Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
+		Bootstrap: i == 0 && s.isNew(name), MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, MaxMessage: encoder.MaxMessage,
+		Consensus: replicator.Defaults(), Security: insecureSite(), Metrics: reporter.NewController(),
+		Health: supervisor.NewHealth(server.Conditions()...), Log: s.Log}
 	return start(s.ctx, s.group, abrupt{controller.Run})
 }
 
+// isNew reports whether the controller called name never ran. Only then it may begin a cluster.
+func (s *Site) isNew(name string) bool {
+	_, err := os.Stat(filepath.Join(s.DataFolder, name))
+	return errors.Is(err, os.ErrNotExist)
+}
+
+// insecureSite admits everybody: the site is on loopback.
+func insecureSite() *authenticator.Authenticator {
+	security, err := authenticator.New(configurator.SecuritySettings{Insecure: true}, authenticator.Peer{}, time.Now, func(error) {})
+	if err != nil {
+		panic(err) // without certificates there is nothing to read
+	}
+	return security
+}
+
 func (s *Site) buffer() *recorder.Buffer {
 	buffer := &recorder.Buffer{Cap: eventsKept, Clock: time.Now}
 	s.buffers = append(s.buffers, buffer)
@@ -171,12 +189,6 @@
 	return addrs
 }
 
-// insecureSite returns the authenticator of processes without certificates, which can't fail.
-func insecureSite() *authenticator.Authenticator {
-	security, _ := authenticator.New(configurator.SecuritySettings{Insecure: true}, authenticator.Peer{}, time.Now, func(error) {})
-	return security
-}
-
 // configure puts the profiles and teams in force, as an operator would.
 func (s *Site) configure() error {
 	ctx, cancel := context.WithTimeout(s.ctx, 20*time.Second)
