Prove the whole path with copies through every entry and killed processes

Cause: no test drove a whole site, so the promises were proved only for the pure machines. Change: 100 copies of one submission go through both entries while the owner entry, an agent, the leading controller, or an entry and an agent are killed; the answers are compared with the upstreams' own log of starts and with core/verifier. Events carry the identity of the run, without which the verifier takes the repeat of a lost task for a second start. A site claims its part of the loopback range: two runs on one host met on 127.130.3.3:9000.

--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	a.self.Store(&specifier.Identity{Name: a.Name, Incarnation: specifier.Incarnation(rand.Uint64())})
+	a.Events.SetProcess(a.Self().String())
 	a.executor = executor.New(queueBound, heldBytes)
 	a.mailbox = mailer.NewMailbox[executor.Event](mailboxSize)
 	a.links = &listener.Links{}
@@ -142,6 +143,7 @@
 // notify turns what the controllers say into events.
 func (a *Agent) notify(ctx context.Context, notice attender.Notice) error {
 	a.self.Store(&notice.Self)
+	a.Events.SetProcess(notice.Self.String())
 	var events []executor.Event
 	if !notice.Until.IsZero() {
 		events = append(events, executor.Leased{Until: notice.Until})
--- a/core/recorder/buffer.go
+++ b/core/recorder/buffer.go
@@ -30,6 +30,15 @@
 	b.ring.Add(event)
 }
 
+// SetProcess changes Process for the events from now on, which are counted from 1 again.
+func (b *Buffer) SetProcess(process string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.Process != process {
+		b.Process, b.sequence = process, 0
+	}
+}
+
 // All returns the kept events, oldest first, and how many were dropped.
 func (b *Buffer) All() ([]Event, int) {
 	b.mutex.Lock()
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -78,6 +78,7 @@
 	}
 	identity := specifier.Identity{Name: e.Name, Incarnation: specifier.Incarnation(rand.Uint64())}
 	e.self.Store(&identity)
+	e.Events.SetProcess(identity.String())
 	e.mailbox = mailer.NewMailbox[coordinator.Event](mailboxSize)
 	e.waiters = &answerer.Waiters{}
 	e.coordinator = coordinator.New(maxJobs, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), &scheduler.Scheduler{})
--- /dev/null
+++ b/local/assembler/leader.go
@@ -0,0 +1,59 @@
+package assembler
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
+	"oleandertally/core/specifier"
+)
+
+// Leader returns the index of the leading controller. It asks each one in turn, by a resend of the
+// first change of the configuration: only a leader decides, and a resend changes nothing.
+func (s *Site) Leader(ctx context.Context) (int, error) {
+	pool := &dialer.Pool{Credentials: insecure.NewCredentials()}
+	defer pool.Close()
+	for i := range s.Controllers {
+		leads, err := s.leads(ctx, pool, i)
+		if err == nil && leads {
+			return i, nil
+		}
+		if ctx.Err() != nil {
+			return 0, context.Cause(ctx)
+		}
+	}
+	return 0, errors.New("assembler: no controller leads")
+}
+
+func (s *Site) leads(ctx context.Context, pool *dialer.Pool, i int) (bool, error) {
+	conn, err := pool.Conn(s.Layout.Controller(i))
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := encoder.NewRegistryClient(conn).Propose(ctx)
+	if err != nil {
+		return false, errors.Wrap(err, "assembler: open the stream")
+	}
+	command := encoder.EncodeCommand(s.firstChange())
+	if err := stream.Send(&encoder.Proposals{Items: []*encoder.Proposal{{Sequence: 1, Command: command}}}); err != nil {
+		return false, errors.Wrap(err, "assembler: propose")
+	}
+	verdicts, err := stream.Recv()
+	if err != nil {
+		return false, errors.Wrap(err, "assembler: decision")
+	}
+	if len(verdicts.Items) == 0 {
+		return false, errors.New("assembler: the controller sent no decision")
+	}
+	decision, err := encoder.DecodeDecision(verdicts.Items[0].Decision)
+	return decision.Verdict == specifier.Applied, err
+}
+
+func (s *Site) firstChange() specifier.ChangeConfiguration {
+	return specifier.ChangeConfiguration{RequestID: "local-start", Operator: "local", Profiles: s.Profiles, Teams: s.Teams}
+}
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -166,7 +166,7 @@
 	for c := range s.Controllers {
 		proposer.Controllers = append(proposer.Controllers, s.Layout.Controller(c))
 	}
-	proposer.Propose(specifier.ChangeConfiguration{RequestID: "local-start", Operator: "local", Profiles: s.Profiles, Teams: s.Teams})
+	proposer.Propose(s.firstChange())
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return proposer.Run(groupCtx) })
 	var decision specifier.Decision
--- a/local/replaycommand.go
+++ b/local/replaycommand.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -57,6 +56,14 @@
 	defer os.RemoveAll(folder)
 	site := c.site(starts)
 	site.DataFolder = folder
+	if !c.serve {
+		claim, err := assembler.NewClaim()
+		if err != nil {
+			return 0, err
+		}
+		defer claim.Release()
+		site.Layout = claim.Layout
+	}
 	if err := site.Start(ctx); err != nil {
 		return 0, errors.CombineErrors(err, site.Stop())
 	}
@@ -96,13 +103,9 @@
 	return trace, errors.Wrapf(err, "%s", path)
 }
 
-// site has the zones, racks and slots of Alisio today. Without -serve its addresses are random
-// within 127.0.0.0/8, so that two runs at once do not clash.
+// site has the zones, racks and slots of Alisio today, on the fixed addresses of -serve.
 func (c *replayCommand) site(starts *imitator.StartLog) *assembler.Site {
-	base := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), 0, 0})
-	if c.serve {
-		base = netip.AddrFrom4([4]byte{127, 1, 0, 0})
-	}
+	base := netip.AddrFrom4([4]byte{127, 1, 0, 0})
 	log := zerolog.Nop()
 	if c.verbose {
 		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
--- a/local/report.go
+++ b/local/report.go
@@ -41,7 +41,7 @@
 	slices.Sort(r.ratios)
 	for _, event := range events {
 		if event.Kind == recorder.TaskStarted {
-			r.byWorker[event.Process]++
+			r.byWorker[recorder.ProcessName(event.Process)]++
 		}
 	}
 	r.check(events, dropped, starts)
