--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -121,7 +121,7 @@
 	controller := &server.Controller{Name: name, Addr: s.Layout.Controller(i), DataFolder: filepath.Join(s.DataFolder, name), Peers: s.peers(),
 		Bootstrap: i == 0, MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, Consensus: replicator.Defaults(),
 		Credentials: insecure.NewCredentials(), Log: s.Log}
-	return start(s.ctx, s.group, controller.Run)
+	return start(s.ctx, s.group, "controller", controller.Run)
 }
 
 func (s *Site) buffer(name string) *recorder.Buffer {
@@ -137,13 +137,13 @@
 	for c := range s.Controllers {
 		agent.Controllers = append(agent.Controllers, s.Layout.Controller(c))
 	}
-	return start(s.ctx, s.group, agent.Run)
+	return start(s.ctx, s.group, "agent", agent.Run)
 }
 
 func (s *Site) startUpstream(i int) *process {
 	upstream := &imitator.Upstream{Worker: fmt.Sprintf("worker-%02d", i+1), Addr: s.Layout.upstream(i), AgentAddr: s.Layout.announce(i),
 		Slots: slots, Starts: s.Starts}
-	return start(s.ctx, s.group, upstream.Run)
+	return start(s.ctx, s.group, "upstream", upstream.Run)
 }
 
 func (s *Site) startEntry(i int) *process {
@@ -153,7 +153,7 @@
 	for c := range s.Controllers {
 		entry.Controllers = append(entry.Controllers, s.Layout.Controller(c))
 	}
-	return start(s.ctx, s.group, entry.Run)
+	return start(s.ctx, s.group, "entry", entry.Run)
 }
 
 // configure puts the profiles and teams in force, as an operator would.
--- a/local/measurecommand.go
+++ b/local/measurecommand.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/pprof"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -35,11 +36,23 @@
 type measureCommand struct {
 	seed   uint64
 	length time.Duration
-	out    io.Writer
+	// profile is where a processor profile goes; its label Role says which role used the time.
+	profile string
+	out     io.Writer
 }
 
 // run returns the exit code: 0 when every promise held, 1 when one was broken.
-func (c *measureCommand) run(ctx context.Context) (int, error) {
+func (c *measureCommand) run(ctx context.Context) (code int, err error) {
+	if c.profile != "" {
+		file, err := os.Create(c.profile)
+		if err != nil {
+			return 0, errors.Wrap(err, "create the profile")
+		}
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return 0, errors.CombineErrors(err, file.Close())
+		}
+		defer func() { pprof.StopCPUProfile(); err = errors.CombineErrors(err, file.Close()) }()
+	}
 	fmt.Fprintf(c.out, "seed %d, %v of arrivals at each demand, load of the machine %s\n\n", c.seed, c.length, machineLoad())
 	var all []measurement
 	for _, demand := range demands {
