Forget recorded answers when an entry is full of them

Cause: MaxJobs counted answered jobs, which are kept for 30 s, though it is described as the jobs that are not yet answered. With room for 10,000 an entry refused everything from 333 jobs a second on; with 50,000, from 1,667 on. Change: when the entry is full, the oldest answers that are recorded leave first. A repeat then collects its answer from the controllers and the agents. Conclusion: MaxJobs bounds the jobs in flight, and memory as before.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -25,13 +25,14 @@
 
 // Coordinator is the control state of an entry. Exported fields are set before the first Step.
 type Coordinator struct {
-	MaxJobs   int        // jobs held at once; more are not even looked up
+	MaxJobs   int        // jobs held at once, of which those that are not answered count first; more are not even looked up
 	Rand      *rand.Rand // jitter
 	Scheduler *scheduler.Scheduler
 
 	self          specifier.Identity
 	jobs          map[specifier.JobID]*job
-	cancels       map[specifier.JobID][]Waiter // wait for CancelJob
+	cancels       map[specifier.JobID][]Waiter     // wait for CancelJob
+	settledJobs   collector.Queue[specifier.JobID] // answered and recorded, oldest first
 	timers        collector.Heap[timer]
 	configuration specifier.Configuration
 	agents        map[specifier.Identity]specifier.Member // Up or Draining
--- a/entry/coordinator/runs.go
+++ b/entry/coordinator/runs.go
@@ -73,7 +73,7 @@
 	}
 	switch job.phase {
 	case answered:
-		job.recorded = true
+		c.settled(job)
 	case recording:
 		if d.Verdict != specifier.Finished {
 			c.give(now, job, specifier.Fail(specifier.Superseded, "another entry took the job over", true))
@@ -81,7 +81,7 @@
 			return
 		}
 		c.give(now, job, job.answer)
-		job.recorded = true
+		c.settled(job)
 		job.keep = now.Add(answerRetention)
 		c.wakeAt(job, job.keep)
 	}
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -19,6 +19,7 @@
 	job := newJob(now, e.Job, digest)
 	job.waiters = []waiting{{waiter: e.Waiter, caller: true}}
 	c.note(recorder.JobSubmitted, job, "", "", fmt.Sprintf("%d tasks", len(e.Job.Tasks)))
+	c.makeRoom()
 	if len(c.jobs) >= c.MaxJobs {
 		c.give(now, job, specifier.Fail(specifier.Overloaded,
 			"this entry holds too many jobs to look the key up; an earlier submission under it may have run", true))
