--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -140,6 +140,9 @@
 			sooner(at)
 		}
 	}
+	if at := x.reports.Next(x.Load()); !at.IsZero() {
+		sooner(at)
+	}
 	if x.slots > 0 {
 		sooner(x.lapse)
 	}
--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
 
 	"oleandertally/agent/executor"
 	"oleandertally/agent/invoker"
@@ -103,7 +104,7 @@
 	a.links = &listener.Links{}
 	a.invoker = invoker.New(a.Settings.MaxConnections)
 	a.pool = &dialer.Pool{Credentials: a.Security.ClientCredentials(specifier.Controller, ""), MaxMessage: int(a.Settings.MaxMessage),
-		Stats: &reporter.Bytes{Member: a.Metrics.Member}}
+		Stats: []stats.Handler{&reporter.Bytes{Member: a.Metrics.Member}}}
 	a.ended, a.left = make(chan struct{}), make(chan struct{})
 	a.leave, a.attended = make(chan struct{}), make(chan struct{})
 	a.Health.Probe = a.probe
--- a/core/dialer/pool.go
+++ b/core/dialer/pool.go
@@ -18,8 +18,8 @@
 // Pool shares connections. Fields are set before use; it is safe for concurrent use.
 type Pool struct {
 	Credentials credentials.TransportCredentials
-	MaxMessage  int           // bytes; default encoder.MaxMessage
-	Stats       stats.Handler // default none
+	MaxMessage  int // bytes; default encoder.MaxMessage
+	Stats       []stats.Handler
 
 	mutex sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
@@ -59,8 +59,8 @@
 		// A silent partition shows as a broken stream after Time plus Timeout.
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
 	}
-	if p.Stats != nil {
-		options = append(options, grpc.WithStatsHandler(p.Stats))
+	for _, handler := range p.Stats {
+		options = append(options, grpc.WithStatsHandler(handler))
 	}
 	return options
 }
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
 
 	"oleandertally/core/attender"
 	"oleandertally/core/authenticator"
@@ -60,6 +61,7 @@
 	// Notice is how long callers are still answered NotRun after a shutdown began, so that the balancer
 	// has time to see that the entry is not ready.
 	Notice time.Duration
+	Stats  stats.Handler // of all streams that the entry opens; default none
 
 	self     atomic.Pointer[specifier.Identity]
 	mailbox  *mailer.Mailbox[coordinator.Event]
@@ -102,7 +104,7 @@
 	e.leave, e.attended = make(chan struct{}), make(chan struct{})
 	e.waiters = &answerer.Waiters{}
 	e.lease = attender.NewLease()
-	e.pools = newPools(e.Security, int(e.Settings.MaxMessage), &reporter.Bytes{Member: e.Metrics.Member})
+	e.pools = newPools(e.Security, int(e.Settings.MaxMessage), &reporter.Bytes{Member: e.Metrics.Member}, e.Stats)
 	e.Health.Probe = e.probe
 	var err error
 	if e.callers, err = net.Listen("tcp", e.Settings.HTTPAddr.String()); err != nil {
--- a/entry/runner/pools.go
+++ b/entry/runner/pools.go
@@ -15,12 +15,18 @@
 	entries     *dialer.Pool
 }
 
-func newPools(security *authenticator.Authenticator, maxMessage int, control stats.Handler) pools {
+// newPools returns empty pools. Control sees the messages to and from controllers, all those of every pool; all
+// may be nil.
+func newPools(security *authenticator.Authenticator, maxMessage int, control, all stats.Handler) pools {
+	var handlers []stats.Handler
+	if all != nil {
+		handlers = append(handlers, all)
+	}
 	pool := func(role specifier.Role) *dialer.Pool {
-		return &dialer.Pool{Credentials: security.ClientCredentials(role, ""), MaxMessage: maxMessage}
+		return &dialer.Pool{Credentials: security.ClientCredentials(role, ""), MaxMessage: maxMessage, Stats: handlers}
 	}
 	p := pools{controllers: pool(specifier.Controller), agents: pool(specifier.Agent), entries: pool(specifier.Entry)}
-	p.controllers.Stats = control
+	p.controllers.Stats = append([]stats.Handler{control}, handlers...)
 	return p
 }
 
--- a/local/assembler/process.go
+++ b/local/assembler/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/pprof"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -15,13 +16,14 @@
 }
 
 // start runs a role in the group until it is killed or ctx ends. A role that ends by itself
-// with an error ends the site.
-func start(ctx context.Context, group *errgroup.Group, role role) *process {
+// with an error ends the site. All its goroutines carry kind in processor profiles.
+func start(ctx context.Context, group *errgroup.Group, kind string, role role) *process {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &process{role: role, cancel: cancel, done: make(chan struct{})}
 	group.Go(func() error {
 		defer close(p.done)
-		err := role.Run(ctx)
+		var err error
+		pprof.Do(ctx, pprof.Labels("Role", kind), func(ctx context.Context) { err = role.Run(ctx) })
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
 
 	agentrunner "oleandertally/agent/runner"
 	"oleandertally/controller/server"
@@ -52,6 +53,7 @@
 	Teams       []specifier.Team
 	Starts      *imitator.StartLog
 	Log         zerolog.Logger
+	Stats       stats.Handler // of the streams that entries open; default none
 
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -133,7 +135,7 @@
 		Bootstrap: i == 0 && s.isNew(name), MemberLease: s.MemberLease, MaxSubmissions: maxSubmissions, MaxMessage: encoder.MaxMessage,
 		Consensus: replicator.Defaults(), Security: insecureSite(), Metrics: reporter.NewController(),
 		Health: supervisor.NewHealth(server.Conditions()...), Log: s.Log}
-	return start(s.ctx, s.group, abrupt{controller.Run})
+	return start(s.ctx, s.group, "controller", abrupt{controller.Run})
 }
 
 // isNew reports whether the controller called name never ran. Only then it may begin a cluster.
@@ -163,13 +165,13 @@
 	settings.AgentAddr, settings.AnnounceAddr, settings.Controllers = s.Layout.agent(i), s.Layout.announce(i), s.controllerAddrs()
 	agent := &agentrunner.Agent{Settings: settings, Security: insecureSite(), Events: s.buffer(), Log: s.Log,
 		Metrics: reporter.NewAgent(), Health: supervisor.NewHealth(agentrunner.Conditions()...)}
-	return start(s.ctx, s.group, agent)
+	return start(s.ctx, s.group, "agent", agent)
 }
 
 func (s *Site) startUpstream(i int) *process {
 	upstream := &imitator.Upstream{Worker: fmt.Sprintf("worker-%02d", i+1), Addr: s.Layout.upstream(i), AgentAddr: s.Layout.announce(i),
 		Slots: slots, Starts: s.Starts}
-	return start(s.ctx, s.group, abrupt{upstream.Run})
+	return start(s.ctx, s.group, "upstream", abrupt{upstream.Run})
 }
 
 func (s *Site) startEntry(i int) *process {
@@ -177,8 +179,8 @@
 	settings.Name, settings.Zone, settings.Rack = fmt.Sprintf("entry-%d", i+1), s.zone(i), fmt.Sprintf("entry-%d", i+1)
 	settings.HTTPAddr, settings.PeerAddr, settings.Controllers = s.Layout.Entry(i), s.Layout.entryPeer(i), s.controllerAddrs()
 	entry := &entryrunner.Entry{Settings: settings, Security: insecureSite(), Events: s.buffer(), Log: s.Log,
-		Metrics: reporter.NewEntry(), Health: supervisor.NewHealth(entryrunner.Conditions()...)}
-	return start(s.ctx, s.group, entry)
+		Stats: s.Stats, Metrics: reporter.NewEntry(), Health: supervisor.NewHealth(entryrunner.Conditions()...)}
+	return start(s.ctx, s.group, "entry", entry)
 }
 
 func (s *Site) controllerAddrs() []netip.AddrPort {
@@ -201,7 +203,7 @@
 	for c := range s.Controllers {
 		proposer.Controllers = append(proposer.Controllers, s.Layout.Controller(c))
 	}
-	proposer.Propose(specifier.ChangeConfiguration{RequestID: "local-start", Operator: "local", Profiles: s.Profiles, Teams: s.Teams})
+	proposer.Propose(s.firstChange())
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return proposer.Run(groupCtx) })
 	var decision specifier.Decision
