--- a/local/assembler/stop_test.go
+++ b/local/assembler/stop_test.go
@@ -15,8 +15,10 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
+	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
 	"oleandertally/core/verifier"
+	entryrunner "oleandertally/entry/runner"
 	"oleandertally/local/imitator"
 	"oleandertally/local/submitter"
 	"oleandertally/replay/tracer"
@@ -153,6 +155,7 @@
 	must.NoError(t, site.StopAgent(ctx, 0))
 	stopEntry(ctx, t, site.entries[0], b)
 	must.NoError(t, group.Wait())
+	mustMeasure(t, site.entries[1].role.(*entryrunner.Entry).Metrics, callers*jobsOfCaller)
 	events, dropped := site.Events()
 	must.NoError(t, site.Stop())
 	http.DefaultClient.CloseIdleConnections()
@@ -165,6 +168,26 @@
 	goleak.VerifyNone(t, leaks)
 }
 
+// mustMeasure checks that no task is counted as waiting after a burst, and that answers are counted as often
+// as they are Complete. The other entry has answered the rest, so most is a bound.
+func mustMeasure(t *testing.T, metrics *reporter.Entry, most float64) {
+	t.Helper()
+	families, err := metrics.Registry().Gather()
+	must.NoError(t, err)
+	sums := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			sums[family.GetName()] += metric.GetGauge().GetValue() + metric.GetCounter().GetValue() + float64(metric.GetHistogram().GetSampleCount())
+		}
+	}
+	answers := sums["oleandertally_entry_in_time_total"]
+	must.Zero(t, sums["oleandertally_entry_queue_tasks"])
+	must.Between(t, 1, answers, most+1)
+	must.Eq(t, answers, sums["oleandertally_entry_response_over_ideal_ratio"])
+	// One job of awaitService with one task.
+	must.Eq(t, (answers-1)*tasksOfOneJob+1, sums["oleandertally_entry_assignments_total"]-sums["oleandertally_entry_retries_total"])
+}
+
 // stopEntry closes the entry's listeners once every caller has seen that it stops, as a balancer would.
 func stopEntry(ctx context.Context, t *testing.T, entry *process, b *burst) {
 	t.Helper()
