--- a/local/programs_test.go
+++ b/local/programs_test.go
@@ -26,7 +26,6 @@
 	"oleandertally/core/operator"
 	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
-	"oleandertally/local/assembler"
 	"oleandertally/local/imitator"
 	"oleandertally/local/submitter"
 	"oleandertally/replay/tracer"
@@ -34,14 +33,14 @@
 
 const readyWithin = 30 * time.Second
 
-// deployment is a site of which the controller and the upstream run in the test.
+// deployment is a site of which the upstream runs in the test.
 const deployment = `Security: {Insecure: true}
 Controllers:
-  - {Name: controller-1, Zone: a, Rack: a, Addr: "%[1]s", MetricsAddr: "%[2]s:7103", DataFolder: data}
+  - {Name: controller-1, Zone: a, Rack: a, Addr: "%[1]s:7101", MetricsAddr: "%[1]s:7103", DataFolder: data}
 Entries:
-  - {Name: entry-1, Zone: a, Rack: a, StopWithin: 4s, HttpAddr: "%[2]s:7001", PeerAddr: "%[2]s:7002", MetricsAddr: "%[2]s:7003"}
+  - {Name: entry-1, Zone: a, Rack: a, StopWithin: 4s, HttpAddr: "%[1]s:7001", PeerAddr: "%[1]s:7002", MetricsAddr: "%[1]s:7003"}
 Agents:
-  - {Name: agent-1, Zone: a, Rack: a, StopWithin: 4s, Service: demo, AgentAddr: "%[2]s:7201", AnnounceAddr: "%[2]s:7202", MetricsAddr: "%[2]s:7203"}
+  - {Name: agent-1, Zone: a, Rack: a, StopWithin: 4s, Service: demo, AgentAddr: "%[1]s:7201", AnnounceAddr: "%[1]s:7202", MetricsAddr: "%[1]s:7203"}
 `
 
 // program is a started binary.
@@ -64,11 +63,11 @@
 	return strings.Contains(p.log.String(), text)
 }
 
-// build returns the folder with the binaries of the entry and the agent.
+// build returns the folder with the binaries of the programs.
 func build(t *testing.T) string {
 	t.Helper()
 	folder := t.TempDir()
-	command := exec.Command("go", "build", "-o", folder+"/", "./entry", "./agent")
+	command := exec.Command("go", "build", "-o", folder+"/", "./entry", "./agent", "./controller")
 	command.Dir = ".."
 	output, err := command.CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(output)))
@@ -136,10 +135,10 @@
 	return netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), byte(rand.IntN(250)), 1})
 }
 
-func writeSettings(t *testing.T, controller netip.AddrPort, host netip.Addr) string {
+func writeSettings(t *testing.T, host netip.Addr) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "site.yaml")
-	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, deployment, controller, host), 0o600))
+	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, deployment, host), 0o600))
 	return path
 }
 
@@ -147,19 +146,18 @@
 // lies, empty metrics, a time line that can't be gathered, or a wrong exit code after a planned stop.
 func TestProgramsServeAndStop(t *testing.T) {
 	folder, host := build(t), loopback()
-	site := &assembler.Site{Layout: assembler.Layout{Base: host}, DataFolder: t.TempDir(), Zones: []string{"a"}, Controllers: 1,
-		MemberLease: 3 * time.Second, Profiles: []specifier.Profile{{Name: "quote", Service: "demo"}}}
-	must.NoError(t, site.Start(t.Context()))
-	settings := writeSettings(t, site.Layout.Controller(0), host)
+	settings := writeSettings(t, host)
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(host, port) }
 	upstream := &imitator.Upstream{Worker: "agent-1", Addr: at(9000), AgentAddr: at(7202), Slots: 4, Starts: &imitator.StartLog{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return upstream.Run(ctx) })
 
+	controller := launch(t, filepath.Join(folder, "controller"), "-settings", settings, "-name", "controller-1", "-bootstrap")
 	agent := launch(t, filepath.Join(folder, "agent"), "-settings", settings, "-name", "agent-1")
 	entry := launch(t, filepath.Join(folder, "entry"), "-settings", settings, "-name", "entry-1")
-	for _, addr := range []netip.AddrPort{at(7003), at(7203)} {
+	mustApply(t, at(7101))
+	for _, addr := range []netip.AddrPort{at(7003), at(7103), at(7203)} {
 		awaitTrue(t, "ready", func() bool { code, _ := get("http://" + addr.String() + "/readyz"); return code == http.StatusOK })
 		code, _ := get("http://" + addr.String() + "/livez")
 		must.Eq(t, http.StatusOK, code)
@@ -193,15 +191,41 @@
 	entry.mustExit(t, 0)
 	cancel()
 	_ = group.Wait() // the upstream ends with the context's error
-	must.NoError(t, site.Stop())
+	controller.signal(t, syscall.SIGTERM)
+	controller.mustExit(t, 0)
+}
+
+// newClient returns a client that tries as long as the programs may take to start.
+func newClient(controller netip.AddrPort) *operator.Client {
+	return &operator.Client{Controllers: []netip.AddrPort{controller}, Credentials: insecure.NewCredentials(), Attempt: readyWithin,
+		Rounds: 200, Between: 100 * time.Millisecond, Clock: time.Now, Pause: pause}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// mustApply puts a profile in force.
+func mustApply(t *testing.T, controller netip.AddrPort) {
+	t.Helper()
+	change := specifier.ChangeConfiguration{RequestID: "first", Operator: "test", Profiles: []specifier.Profile{{Name: "quote", Service: "demo"}}}
+	decision, err := newClient(controller).Change(t.Context(), "first", "test", change)
+	must.NoError(t, err)
+	must.Eq(t, specifier.Applied, decision.Verdict, must.Sprint(decision))
 }
 
 // mustGather asks pairs of a name and an address for their events, and checks that each lane is a run of
 // its process.
 func mustGather(t *testing.T, entry string, entryAddr netip.AddrPort, agent string, agentAddr netip.AddrPort) {
 	t.Helper()
-	client := &operator.Client{Controllers: []netip.AddrPort{entryAddr}, Credentials: insecure.NewCredentials(), Attempt: readyWithin,
-		Rounds: 1, Clock: time.Now, Pause: func(ctx context.Context, _ time.Duration) error { return ctx.Err() }}
+	client := newClient(entryAddr)
 	for name, addr := range map[string]netip.AddrPort{entry: entryAddr, agent: agentAddr} {
 		log, err := client.Gather(t.Context(), addr, recorder.Filter{})
 		must.NoError(t, err)
@@ -215,8 +239,7 @@
 // Guards against a process that hides why it ended from the platform that watches it.
 func TestExitCodes(t *testing.T) {
 	folder, host := build(t), loopback()
-	nobody := netip.AddrPortFrom(host, 7101)
-	settings := writeSettings(t, nobody, host)
+	settings := writeSettings(t, host)
 	for _, name := range []string{"entry", "agent"} {
 		path := filepath.Join(folder, name)
 		arguments := []string{"-settings", settings, "-name", name + "-1"}
