Ask the living owner of a finished job before the agents

Cause: a repeat of an answered job was told ResultsLost when the agent that held its result had been stopped, although the entry that answered it still held the answer. Change: a repeat asks that entry first and collects from the agents when it is gone.

--- a/entry/coordinator/job.go
+++ b/entry/coordinator/job.go
@@ -24,13 +24,14 @@
 	waiters  []waiting
 	cancel   bool
 
-	index   map[string]int // task id to slot
-	slots   []slot
-	left    int    // slots not done
-	unknown bool   // an agent left whose record can't be had
-	fetched bool   // finished as Complete earlier; only the results are collected
-	members uint64 // collecting waits for this version of the membership
-	asked   map[specifier.Identity]bool
+	index    map[string]int // task id to slot
+	slots    []slot
+	left     int                 // slots not done
+	unknown  bool                // an agent left whose record can't be had
+	finished *specifier.Decision // set while the owner of a finished job is asked for its answer
+	fetched  bool                // finished as Complete earlier; only the results are collected
+	members  uint64              // collecting waits for this version of the membership
+	asked    map[specifier.Identity]bool
 
 	answer   specifier.Answer // planned while recording, given once answered
 	recorded bool
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -224,6 +224,18 @@
 		delete(c.jobs, job.spec.ID)
 		return
 	}
+	if !d.OwnerDown && d.Owner != c.self {
+		// The owner keeps the answer for a while, also after an agent that held a result has left.
+		job.finished = &d
+		job.phase = attached
+		c.out = append(c.out, AskOwner{Owner: d.Owner, Addr: d.OwnerAddr, Job: job.spec.ID, Digest: job.digest})
+		return
+	}
+	c.fetch(now, job, d)
+}
+
+// fetch collects the results of a finished job from the agents.
+func (c *Coordinator) fetch(now time.Time, job *job, d specifier.Decision) {
 	job.epoch = d.Epoch
 	job.fetched = true
 	c.collect(now, job, d)
@@ -231,7 +243,9 @@
 
 func (c *Coordinator) ownerAnswered(now time.Time, e OwnerAnswered) {
 	if job := c.jobs[e.Job]; job != nil && job.phase == attached {
-		if e.Gone {
+		if e.Gone && job.finished != nil {
+			c.fetch(now, job, *job.finished)
+		} else if e.Gone {
 			c.retry(now, job)
 		} else {
 			c.give(now, job, e.Answer)
