Split the coordinator by concern and share what stood twice

Change: a file for each concern of the coordinator; specifier.Identity.Compare; mailer.Pause; one type a file in answerer and listener. Conclusion: the same tests pass.

--- a/agent/listener/announcer.go
+++ b/agent/listener/announcer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"oleandertally/agent/executor"
@@ -14,12 +13,6 @@
 // announceBound is how long an announcement counts. The upstream repeats it more often.
 const announceBound = 10 * time.Second
 
-// Announcement is the body of POST /v1/announce, by which an upstream says that it takes work.
-type Announcement struct {
-	Addr  netip.AddrPort // where it serves POST /tasks
-	Slots int            // tasks that it runs at once
-}
-
 // Announcer serves the upstream's announcements. Fields are set before use.
 type Announcer struct {
 	Sink  *mailer.Mailbox[executor.Event]
--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -1,7 +1,6 @@
 package sequencer
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -134,9 +133,7 @@
 			due = append(due, id)
 		}
 	}
-	slices.SortFunc(due, func(a, b specifier.Identity) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	slices.SortFunc(due, specifier.Identity.Compare)
 	return due
 }
 
--- a/controller/server/peer.go
+++ b/controller/server/peer.go
@@ -38,12 +38,7 @@
 			return err
 		}
 		if err := p.session(ctx, envelopes); err != nil && ctx.Err() == nil {
-			timer := time.NewTimer(peerRedial)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-			}
-			timer.Stop()
+			mailer.Pause(ctx, peerRedial)
 		}
 	}
 }
--- a/core/attender/attender.go
+++ b/core/attender/attender.go
@@ -12,6 +12,7 @@
 
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
 	"oleandertally/core/specifier"
 )
 
@@ -68,7 +69,7 @@
 		if err != nil && ctx.Err() == nil {
 			a.Log.Debug().Err(err).Str("Peer", addr.String()).Msg("attendance ended")
 		}
-		wait(ctx, time.Duration(rand.Int64N(int64(redialBound))))
+		mailer.Pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
 	}
 	return context.Cause(ctx)
 }
@@ -207,12 +208,3 @@
 	}
 	return errors.Wrap(stream.Send(encoder.EncodePresence(presence)), "attender: send")
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/core/attender/departure.go
+++ b/core/attender/departure.go
@@ -10,6 +10,7 @@
 
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
 	"oleandertally/core/specifier"
 )
 
@@ -38,7 +39,7 @@
 			addr = d.Controllers[next]
 		}
 		last = err
-		wait(ctx, time.Duration(rand.Int64N(int64(redialBound))))
+		mailer.Pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
 	}
 	return errors.CombineErrors(context.Cause(ctx), last)
 }
--- a/entry/answerer/response.go
+++ b/entry/answerer/response.go
@@ -18,13 +18,6 @@
 	Results    []TaskResult     `json:",omitempty"` // only with Complete, in the order of the tasks
 }
 
-// TaskResult is what one task returned.
-type TaskResult struct {
-	Id     string
-	Result json.RawMessage `json:",omitempty"` // the upstream's JSON, or its text as a JSON string
-	Base64 []byte          `json:",omitempty"` // instead of Result when the upstream's bytes are not text
-}
-
 func newResponse(answer specifier.Answer) Response {
 	response := Response{Outcome: answer.Outcome, Reason: answer.Reason, Detail: answer.Detail, MayHaveRun: answer.MayHaveRun}
 	if answer.RetryAfter > 0 {
--- a/entry/answerer/submission.go
+++ b/entry/answerer/submission.go
@@ -17,12 +17,6 @@
 	Tasks    []SubmittedTask
 }
 
-// SubmittedTask is one task of a submission.
-type SubmittedTask struct {
-	Id      string
-	Payload json.RawMessage // any JSON value; the upstream gets it as it is, without insignificant space
-}
-
 // decodeSubmission reads and checks a whole body. It returns every problem together.
 func decodeSubmission(body io.Reader, key string, now time.Time) (specifier.Job, *specifier.Problems) {
 	problems := &specifier.Problems{}
--- a/entry/coordinator/job.go
+++ b/entry/coordinator/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -76,7 +75,7 @@
 			holders = append(holders, slot.held)
 		}
 	}
-	slices.SortFunc(holders, compareIdentity)
+	slices.SortFunc(holders, specifier.Identity.Compare)
 	return holders
 }
 
@@ -99,16 +98,3 @@
 	j.slots[i].result.Body = body
 	j.left--
 }
-
-func compareIdentity(a, b specifier.Identity) int {
-	if order := strings.Compare(a.Name, b.Name); order != 0 {
-		return order
-	}
-	switch {
-	case a.Incarnation < b.Incarnation:
-		return -1
-	case a.Incarnation > b.Incarnation:
-		return 1
-	}
-	return 0
-}
--- a/entry/coordinator/leave.go
+++ b/entry/coordinator/leave.go
@@ -34,7 +34,7 @@
 
 // release lets the agents leave of which no job waits for a task or a report.
 func (c *Coordinator) release() {
-	for _, agent := range slices.SortedFunc(maps.Keys(c.leaving), compareIdentity) {
+	for _, agent := range slices.SortedFunc(maps.Keys(c.leaving), specifier.Identity.Compare) {
 		if c.linked[agent] && !c.countsOn(agent) {
 			delete(c.leaving, agent)
 			c.out = append(c.out, Released{Agent: agent})
--- /dev/null
+++ b/entry/coordinator/owner.go
@@ -0,0 +1,37 @@
+package coordinator
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+func (c *Coordinator) ownerAnswered(now time.Time, e OwnerAnswered) {
+	if job := c.jobs[e.Job]; job != nil && job.phase == attached {
+		if e.Gone && job.finished != nil {
+			c.fetch(now, job, *job.finished)
+		} else if e.Gone {
+			c.retry(now, job)
+		} else {
+			c.give(now, job, e.Answer)
+			delete(c.jobs, e.Job)
+		}
+	}
+	answer := e.Answer
+	if e.Gone {
+		answer = specifier.Fail(specifier.Unavailable, "the entry that runs the job can't be reached; cancel again", true)
+	}
+	c.replyCancels(e.Job, answer)
+}
+
+func (c *Coordinator) awaited(now time.Time, e Awaited) {
+	job := c.jobs[e.Job]
+	if job == nil || !job.owned() || (!e.Cancel && job.digest != e.Digest) {
+		c.out = append(c.out, Reply{Waiter: e.Waiter, Job: e.Job, Gone: true})
+		return
+	}
+	c.attach(job, job.digest, waiting{waiter: e.Waiter})
+	if e.Cancel {
+		c.cancel(now, job)
+	}
+}
--- a/entry/linker/link.go
+++ b/entry/linker/link.go
@@ -32,7 +32,7 @@
 		if err := l.session(ctx); err != nil && ctx.Err() == nil {
 			l.agents.Log.Debug().Err(err).Str("Peer", l.member.Name).Msg("agent stream ended")
 		}
-		pause(ctx, linkRedial)
+		mailer.Pause(ctx, linkRedial)
 	}
 }
 
--- a/entry/linker/proposer.go
+++ b/entry/linker/proposer.go
@@ -15,6 +15,7 @@
 
 	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
 	"oleandertally/core/specifier"
 	"oleandertally/entry/coordinator"
 )
@@ -84,7 +85,7 @@
 		if err != nil && ctx.Err() == nil {
 			p.Log.Debug().Err(err).Str("Peer", addr.String()).Msg("proposal stream ended")
 		}
-		pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
+		mailer.Pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
 	}
 	return context.Cause(ctx)
 }
@@ -208,12 +209,3 @@
 	delete(p.pending, sequence)
 	return command, ok
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/state/registrar/image.go
+++ b/state/registrar/image.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"io"
 	"maps"
 	"slices"
-	"strings"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -31,7 +29,7 @@
 
 // Image copies the state; the copy of the submissions takes most of the time.
 func (r *Registrar) Image() *Image {
-	owners, ownerAt := positions(&r.owners, compareIdentity)
+	owners, ownerAt := positions(&r.owners, specifier.Identity.Compare)
 	answers, answerAt := positions(&r.answers, answer.compare)
 	header := &encoder.RegistryHeader{
 		Index:         r.index,
@@ -76,10 +74,6 @@
 	return items, at
 }
 
-func compareIdentity(a, b specifier.Identity) int {
-	return cmp.Or(strings.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 // Encode writes the image. Equal states give equal bytes.
 func (m *Image) Encode(w io.Writer) error {
 	if err := write(w, m.header); err != nil {
