Return a next time that lies after the last dispatch

Cause: while tasks waited and an agent was paced, Next stayed at the same time, so a control loop on a held clock never went on; the coordinator's property test of promises under faults ran into its time limit. Change: the end of a pace counts only when it lies after the last call of Dispatch; the property test of the engine steps to Next and requires it to lie in the future. It fails without the change.

--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -39,6 +39,7 @@
 	ejected    []specifier.Identity
 	lastShort  time.Time
 	refreshed  time.Time
+	dispatched time.Time // last call of Dispatch; Next lies after it
 	slowAt     time.Time
 	sentAt     time.Time
 	paced      []*agent // sent paceTasks tasks lately, oldest first
@@ -133,6 +134,7 @@
 // Dispatch returns what can be sent now, in order. The slice is valid until the next call.
 func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
 	e.sending = e.sending[:0]
+	e.dispatched = now
 	e.wake(now)
 	if e.queued() == 0 {
 		return nil
@@ -353,7 +355,7 @@
 		return next
 	}
 	refresh := e.refreshed.Add(refreshEvery)
-	if paced := e.sentAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.refreshed) {
+	if paced := e.sentAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.dispatched) {
 		refresh = paced
 	}
 	if next.IsZero() || refresh.Before(next) {
--- a/dispatch/scheduler/engine_test.go
+++ b/dispatch/scheduler/engine_test.go
@@ -202,6 +202,17 @@
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
 			},
+			"wake": func(t *rapid.T) {
+				// Guards against a timer that is due again at once, which makes the control loop spin.
+				for _, sent := range s.Dispatch(now) {
+					out[sent.Item.Key] = sent.Agent
+					order = append(order, sent.Item.Key)
+				}
+				if next := s.Next(); !next.IsZero() {
+					must.True(t, next.After(now))
+					now = next
+				}
+			},
 			"": func(t *rapid.T) {
 				for _, agent := range s.pools["s"].agents {
 					must.LessEq(t, agent.member.Slots+lookAhead, len(agent.held))
