--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -39,6 +39,7 @@
 	ejected    []specifier.Identity
 	lastShort  time.Time
 	refreshed  time.Time
+	dispatched time.Time // last call of Dispatch; Next lies after it
 	slowAt     time.Time
 	paced      []*agent // sent paceTasks tasks lately, oldest first
 	spare      []*task
@@ -132,6 +133,7 @@
 // Dispatch returns what can be sent now, in order. The slice is valid until the next call.
 func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
 	e.sending = e.sending[:0]
+	e.dispatched = now
 	e.wake(now)
 	if e.queued() == 0 {
 		return nil
@@ -351,10 +353,10 @@
 		return next
 	}
 	refresh := e.refreshed.Add(refreshEvery)
-	// Only an agent that still waits for its pace counts: a time that Dispatch has handled must not come
-	// again, or the caller's loop would spin.
+	// Only an agent that still waits for its pace counts, and only after the last dispatch: a time that Dispatch has
+	// handled must not come again, or the caller's loop would spin.
 	if len(e.paced) > 0 {
-		if paced := e.paced[0].paceAt.Add(paceInterval); paced.Before(refresh) {
+		if paced := e.paced[0].paceAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.dispatched) {
 			refresh = paced
 		}
 	}
