Test faults of real controllers on loopback

A hand-over returns only when another controller leads: before, the process could end before the message that makes the other campaign had left.

--- a/controller/driver/driver.go
+++ b/controller/driver/driver.go
@@ -168,7 +168,9 @@
 		case replicator.BecameFollower:
 			d.leader = d.addrOf(action.Leader)
 			d.control(now, d.Sequencer.Step(now, sequencer.Followed{Leader: d.leader}))
-			d.handedOver("")
+			if !action.Leader.IsZero() {
+				d.handedOver("")
+			}
 			d.out = append(d.out, Action{Log: action})
 		case replicator.SaveSnapshot:
 			d.out = append(d.out, Action{Log: action, Image: d.Sequencer.Registrar.Image()})
--- a/controller/driver/handedover.go
+++ b/controller/driver/handedover.go
@@ -1,6 +1,7 @@
 package driver
 
-// HandedOver answers HandOver once this controller does not lead, or can't hand over.
+// HandedOver answers HandOver once another controller leads, so that the message that makes it campaign has
+// left, or when this one can't hand over.
 type HandedOver struct {
 	Ticket uint64
 	Detail string // why this controller still leads; empty when it does not
--- /dev/null
+++ b/controller/server/faults_test.go
@@ -0,0 +1,201 @@
+package server
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/core/specifier"
+	"oleandertally/state/journaler"
+)
+
+// Guards against a restart that forgets what was accepted.
+func TestLeaderKilled(t *testing.T) {
+	c := newCluster(t, 3).begin()
+	for i := range 20 {
+		must.Eq(t, specifier.Accepted, c.propose(c.accept(i)).Verdict)
+	}
+	must.Eq(t, specifier.Applied, c.propose(change("first", "eva", 0)).Verdict)
+	killed := c.leader()
+	must.ErrorIs(t, c.kill(killed), context.Canceled)
+	c.assertAccepted(20)
+	c.assertRevision(1)
+	c.start(killed, false)
+	c.waitVoters(3)
+	c.assertAccepted(20)
+	c.assertRevision(1)
+}
+
+// Guards against a follower that stays behind once it missed more than one message, with and
+// without the entries that a snapshot has replaced.
+func TestFollowerBehind(t *testing.T) {
+	for name, every := range map[string]int{"from the log": 100_000, "from a snapshot": 50} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.consensus.SnapshotEvery, c.consensus.KeepEntries = every, every/5
+			c.begin()
+			away := (c.leader() + 1) % 3
+			must.ErrorIs(t, c.kill(away), context.Canceled)
+			for i := range 300 {
+				must.Eq(t, specifier.Accepted, c.propose(c.accept(i)).Verdict)
+			}
+			c.start(away, false)
+			c.waitVoters(3)
+			must.ErrorIs(t, c.kill((away+1)%3), context.Canceled)
+			c.assertAccepted(300) // needs the one that was away for a majority
+		})
+	}
+}
+
+// Guards against a controller that votes under the identity of its lost disk, and against a repair after
+// which a second loss takes accepted work with it.
+func TestDiskLostTwice(t *testing.T) {
+	c := newCluster(t, 3).begin()
+	for i := range 50 {
+		must.Eq(t, specifier.Accepted, c.propose(c.accept(i)).Verdict)
+	}
+	for range 2 {
+		lost := c.leader()
+		must.ErrorIs(t, c.kill(lost), context.Canceled)
+		must.NoError(t, os.RemoveAll(c.dataFolder(lost)))
+		c.start(lost, false)
+		c.waitVoters(3) // the former identity is replaced
+	}
+	c.assertAccepted(50)
+}
+
+// Guards against two winners, and against a loser that is not told who won.
+func TestRace(t *testing.T) {
+	c := newCluster(t, 3).begin()
+	names := []string{"eva", "luis"}
+	decisions := make([]specifier.Decision, len(names))
+	var group errgroup.Group
+	for i, name := range names {
+		group.Go(func() error {
+			var err error
+			decisions[i], err = c.client().Change(context.Background(), "of-"+name, name, change("of-"+name, name, 0))
+			return err
+		})
+	}
+	must.NoError(t, group.Wait())
+	winner := 0
+	if decisions[1].Verdict == specifier.Applied {
+		winner = 1
+	}
+	must.Eq(t, specifier.Applied, decisions[winner].Verdict)
+	must.Eq(t, specifier.Conflict, decisions[1-winner].Verdict)
+	must.Eq(t, names[winner], decisions[1-winner].Operator)
+}
+
+// Guards against a resend that is decided anew, also by another leader.
+func TestResend(t *testing.T) {
+	c := newCluster(t, 3).begin()
+	first := c.propose(change("lost", "eva", 0))
+	must.Eq(t, specifier.Applied, first.Verdict)
+	must.Eq(t, specifier.Applied, c.propose(change("later", "luis", 1)).Verdict)
+	must.ErrorIs(t, c.kill(c.leader()), context.Canceled)
+	must.Eq(t, first, c.propose(change("lost", "eva", 0)))
+	c.assertRevision(2)
+}
+
+// Guards against a planned stop that leaves the others without a leader.
+func TestHandOver(t *testing.T) {
+	c := newCluster(t, 3).begin()
+	leader := c.leader()
+	must.NoError(t, c.running[leader].HandOver(t.Context()))
+	must.NotEq(t, leader, c.leader())
+	t.Run("nobody to take it", func(t *testing.T) {
+		alone := newCluster(t, 1).begin()
+		must.ErrorContains(t, alone.running[0].HandOver(t.Context()), "still leads")
+	})
+}
+
+// Guards against a data folder that makes a controller forget its votes or its log.
+func TestFolderRefused(t *testing.T) {
+	assertRefused := func(t *testing.T, c *cluster, bootstrap bool, text string) {
+		t.Helper()
+		controller := c.controller(0, bootstrap)
+		must.ErrorContains(t, controller.Open(), text)
+	}
+	used := func(t *testing.T) *cluster {
+		c := newCluster(t, 1)
+		c.consensus.SnapshotEvery, c.consensus.KeepEntries = 5, 0
+		c.begin()
+		for i := range 20 {
+			must.Eq(t, specifier.Accepted, c.propose(c.accept(i)).Verdict)
+		}
+		must.ErrorIs(t, c.kill(0), context.Canceled)
+		return c
+	}
+	remove := func(t *testing.T, c *cluster, suffix string) {
+		removed := 0
+		names, err := os.ReadDir(c.dataFolder(0))
+		must.NoError(t, err)
+		for _, name := range names {
+			if len(name.Name()) > len(suffix) && name.Name()[len(name.Name())-len(suffix):] == suffix {
+				must.NoError(t, os.Remove(c.dataFolder(0)+"/"+name.Name()))
+				removed++
+			}
+		}
+		must.Positive(t, removed)
+	}
+	t.Run("bootstrap again", func(t *testing.T) { assertRefused(t, used(t), true, "not new") })
+	t.Run("nobody to join", func(t *testing.T) { assertRefused(t, newCluster(t, 1), false, "with -bootstrap") })
+	t.Run("journal lost", func(t *testing.T) {
+		c := used(t)
+		remove(t, c, ".journal")
+		assertRefused(t, c, false, "lost its journal")
+		assertRefused(t, c, false, "lost its journal") // the first start created a journal
+	})
+	t.Run("snapshot lost", func(t *testing.T) {
+		c := used(t)
+		remove(t, c, ".snapshot")
+		assertRefused(t, c, false, "newest snapshot ends at 0")
+	})
+	t.Run("whole", func(t *testing.T) {
+		c := used(t)
+		c.start(0, false)
+		c.assertAccepted(20)
+	})
+}
+
+// Guards against a controller that goes on after a sync that failed.
+func TestSyncFails(t *testing.T) {
+	c := newCluster(t, 1)
+	var opened *failing
+	c.openFolder = func(path string) (folder, error) {
+		disk, err := journaler.OpenDisk(path)
+		opened = &failing{Disk: disk}
+		return opened, err
+	}
+	c.begin()
+	opened.fail.Store(true)
+	_, err := c.proposeTo(0, c.accept(1))
+	must.Error(t, err)
+	must.ErrorIs(t, c.running[0].group.Wait(), journaler.ErrFailed)
+	must.True(t, errors.Is(c.running[0].group.Wait(), errDisk))
+}
+
+// assertAccepted checks that every submission is still recorded as accepted: another digest under its key conflicts.
+func (c *cluster) assertAccepted(count int) {
+	c.t.Helper()
+	for i := range count {
+		other := c.accept(i)
+		other.Digest[0] = 2
+		must.Eq(c.t, specifier.Conflict, c.propose(other).Verdict)
+	}
+}
+
+func (c *cluster) assertRevision(revision specifier.Revision) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	state, err := c.client().Read(ctx, 0)
+	must.NoError(c.t, err)
+	must.Eq(c.t, revision, state.Configuration.Revision)
+}
--- a/controller/server/stop.go
+++ b/controller/server/stop.go
@@ -15,7 +15,7 @@
 	return []supervisor.Step{{Name: "HandOver", Run: c.HandOver}}
 }
 
-// HandOver gives the leadership to another voter and returns once this controller does not lead. It returns
+// HandOver gives the leadership to another voter and returns once that one leads. It returns
 // an error when no other voter can take it; stopping is safe then too, but the others elect a leader
 // only after the election timeout.
 func (c *Controller) HandOver(ctx context.Context) error {
