Read profile files with one parser and connect tally by its settings

Profile files were checked by two parsers that disagreed: tally refused nothing that configurator.ProfileSettings refuses as a written zero, and that one knew no RemoveProfiles. tally uses configurator's now, with a line for each problem, and check knows every kind of settings. profiles show leaves zeros out, since a file with them is refused. Three expected texts of the test of wrong files are those of the other parser; each still names the field.

-settings FILE, or OLEANDERTALLY_SETTINGS, gives the controllers, the certificate, the token and the operator's name of the changes.

--- a/core/configurator/profilesettings.go
+++ b/core/configurator/profilesettings.go
@@ -8,8 +8,10 @@
 
 // ProfileSettings are the content of a profile file, from which an operator changes the configuration.
 type ProfileSettings struct {
-	Profiles []specifier.Profile `yaml:"Profiles"`
-	Teams    []specifier.Team    `yaml:"Teams"`
+	Profiles       []specifier.Profile `yaml:"Profiles"`
+	Teams          []specifier.Team    `yaml:"Teams"`
+	RemoveProfiles []string            `yaml:"RemoveProfiles"` // names
+	RemoveTeams    []string            `yaml:"RemoveTeams"`
 }
 
 func (s *ProfileSettings) setDefaults() {}
@@ -17,7 +19,7 @@
 func (s *ProfileSettings) resolve(string) {}
 
 func (s *ProfileSettings) check(c checker) {
-	if len(s.Profiles)+len(s.Teams) == 0 {
+	if len(s.Profiles)+len(s.Teams)+len(s.RemoveProfiles)+len(s.RemoveTeams) == 0 {
 		c.add("Profiles", "missing, expected at least one profile or team")
 	}
 	profiles, teams := make(map[string]string), make(map[string]string)
@@ -33,6 +35,20 @@
 		at.noZero("Share", team.Share == 0)
 		checkUnique(at, team.Name, teams)
 	}
+	checkRemoved(c, "RemoveProfiles", s.RemoveProfiles, profiles)
+	checkRemoved(c, "RemoveTeams", s.RemoveTeams, teams)
+}
+
+// checkRemoved checks names to remove; named maps what the file names already to where it stands.
+func checkRemoved(c checker, field string, names []string, named map[string]string) {
+	for i, name := range names {
+		at := c.item(field, i)
+		at.name("", name)
+		if first, ok := named[name]; ok && name != "" {
+			at.add("", "%s is already named by %s", quote(name), first)
+		}
+		named[name] = at.prefix
+	}
 }
 
 func checkProfile(c checker, p specifier.Profile) {
--- a/core/operator/call.go
+++ b/core/operator/call.go
@@ -17,9 +17,12 @@
 func call[T any](ctx context.Context, c *Client, addr netip.AddrPort, do func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Attempt)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(), grpc.WithNoProxy(),
-		grpc.WithTransportCredentials(c.Credentials),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply)))
+	options := []grpc.DialOption{grpc.WithNoProxy(), grpc.WithTransportCredentials(c.Credentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply))}
+	if c.PerRPC != nil {
+		options = append(options, grpc.WithPerRPCCredentials(c.PerRPC))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(), options...)
 	if err != nil {
 		var none T
 		return none, errors.Wrapf(err, "dial %s", addr)
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	Controllers []netip.AddrPort
 	Credentials credentials.TransportCredentials
+	PerRPC      credentials.PerRPCCredentials                    // sent with each call; nil when there is none
 	Attempt     time.Duration                                    // limit of one call
 	Rounds      int                                              // times that every controller is tried
 	Between     time.Duration                                    // from one round to the next: an election can be under way
--- a/tally/changefile.go
+++ b/tally/changefile.go
@@ -3,14 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
-
-	"github.com/goccy/go-yaml"
 
+	"oleandertally/core/configurator"
 	"oleandertally/core/specifier"
 )
 
-// changeFile is a file of profiles and teams.
+// changeFile is configurator.ProfileSettings as tally writes it, without what is empty.
 type changeFile struct {
 	Profiles       []specifier.Profile `yaml:"Profiles,omitempty"`
 	Teams          []specifier.Team    `yaml:"Teams,omitempty"`
@@ -18,42 +16,13 @@
 	RemoveTeams    []string            `yaml:"RemoveTeams,omitempty"`
 }
 
-// parseChangeFile refuses unknown fields and reports every wrong value together.
+// parseChangeFile reports every wrong value together.
 func parseChangeFile(name string, data []byte) (changeFile, error) {
-	var file changeFile
-	if len(data) > maxFile {
-		return file, fail(exitRejected, "", "%s: has more than %d bytes", name, maxFile)
-	}
-	if err := yaml.UnmarshalWithOptions(data, &file, yaml.Strict()); err != nil {
-		return file, fail(exitRejected, "", "%s: %v", name, err)
-	}
-	found := &specifier.Problems{}
-	repeats := make(map[string]bool)
-	for i, profile := range file.Profiles {
-		found.Merge(indexed("Profiles", i), profile.Check())
-		once(found, repeats, indexed("Profiles", i)+".Name", "profile "+profile.Name)
-	}
-	for i, team := range file.Teams {
-		found.Merge(indexed("Teams", i), team.Check())
-		once(found, repeats, indexed("Teams", i)+".Name", "team "+team.Name)
-	}
-	for i, name := range file.RemoveProfiles {
-		once(found, repeats, indexed("RemoveProfiles", i), "profile "+name)
+	settings, err := configurator.Parse[configurator.ProfileSettings](name, data)
+	if err != nil {
+		return changeFile{}, fail(exitRejected, "", "%v", err)
 	}
-	for i, name := range file.RemoveTeams {
-		once(found, repeats, indexed("RemoveTeams", i), "team "+name)
-	}
-	if problems := found.OrNil(); problems != nil {
-		return file, fail(exitRejected, "", "%s: %v", name, problems)
-	}
-	return file, nil
-}
-
-func once(found *specifier.Problems, seen map[string]bool, field, item string) {
-	if seen[item] {
-		found.Add(field, "repeats %s", item)
-	}
-	seen[item] = true
+	return changeFile(settings), nil
 }
 
 // applied returns what configuration becomes by the file, for comparing.
@@ -115,5 +84,3 @@
 func (f changeFile) isEmpty() bool {
 	return len(f.Profiles)+len(f.Teams)+len(f.RemoveProfiles)+len(f.RemoveTeams) == 0
 }
-
-func indexed(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
--- a/tally/check.go
+++ b/tally/check.go
@@ -7,27 +7,38 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"oleandertally/core/configurator"
 )
 
 const checkUsage = `tally check [flags] FILE ...
   Checks files before they are used, without asking any process. Code 7: problems were found.
 
 Flags:
-  -kind KIND         what the files hold; default profiles
+  -kind KIND         what the files hold: profiles, entry, agent, controller, deployment or
+                     operator; default profiles
   -json              print JSON for programs instead of lines
 
 Examples:
   tally check holds.yaml
-  tally check -kind profiles profiles/*.yaml
+  tally check -kind deployment site.yaml
 `
 
-// checkers holds the check of each kind of file: it gets the file's name and content. The kinds
-// of settings are added by the package that reads them.
+// checkers holds the check of each kind of file: it gets the file's name and content.
 var checkers = map[string]func(name string, data []byte) error{
-	"profiles": func(name string, data []byte) error {
-		_, err := parseChangeFile(name, data)
+	"profiles":   checkerOf(configurator.Parse[configurator.ProfileSettings]),
+	"entry":      checkerOf(configurator.Parse[configurator.EntrySettings]),
+	"agent":      checkerOf(configurator.Parse[configurator.AgentSettings]),
+	"controller": checkerOf(configurator.Parse[configurator.ControllerSettings]),
+	"deployment": checkerOf(configurator.Parse[configurator.DeploymentSettings]),
+	"operator":   checkerOf(configurator.Parse[configurator.OperatorSettings]),
+}
+
+func checkerOf[S any](parse func(name string, data []byte) (S, error)) func(name string, data []byte) error {
+	return func(name string, data []byte) error {
+		_, err := parse(name, data)
 		return err
-	},
+	}
 }
 
 // checkCommand checks files.
--- a/tally/connection.go
+++ b/tally/connection.go
@@ -9,12 +9,17 @@
 
 	"google.golang.org/grpc/credentials/insecure"
 
+	"oleandertally/core/authenticator"
+	"oleandertally/core/configurator"
 	"oleandertally/core/operator"
 	"oleandertally/core/specifier"
 )
 
-// controllersVariable names the environment variable that -controllers defaults to.
-const controllersVariable = "OLEANDERTALLY_CONTROLLERS"
+// The environment variables that -settings and -controllers default to.
+const (
+	settingsVariable    = "OLEANDERTALLY_SETTINGS"
+	controllersVariable = "OLEANDERTALLY_CONTROLLERS"
+)
 
 const (
 	// rounds and between cover an election, which takes less than a few seconds.
@@ -25,18 +30,23 @@
 // connection holds the flags of every command that asks the controllers.
 type connection struct {
 	env         *environment
+	settings    string
 	controllers string
 	attempt     time.Duration
 	json        bool
+	name        string // of the operator in the settings; empty without settings
 }
 
 // connectionFlags is their part of a usage text.
-const connectionFlags = `  -controllers LIST  IP:port of each controller, with commas; default $OLEANDERTALLY_CONTROLLERS
+const connectionFlags = `  -settings FILE     the operator's settings: name, controllers, certificate and token;
+                     default $OLEANDERTALLY_SETTINGS
+  -controllers LIST  IP:port of each controller, with commas; default $OLEANDERTALLY_CONTROLLERS
   -attempt DURATION  limit of one call to one controller; default 5s
   -json              print JSON for programs instead of tables
 `
 
 func (c *connection) setFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", c.env.getenv(settingsVariable), "")
 	f.StringVar(&c.controllers, "controllers", c.env.getenv(controllersVariable), "")
 	f.DurationVar(&c.attempt, "attempt", 5*time.Second, "")
 	f.BoolVar(&c.json, "json", false, "")
@@ -48,14 +58,44 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(addrs) == 0 {
-		return nil, fail(exitUsage, "give -controllers IP:port,IP:port or set "+controllersVariable, "no controllers given")
-	}
 	if c.attempt <= 0 {
 		return nil, fail(exitUsage, "", "-attempt is %v, expected more than 0", c.attempt)
 	}
-	return &operator.Client{Controllers: addrs, Credentials: insecure.NewCredentials(), Attempt: c.attempt, Rounds: rounds, Between: between,
-		Pause: c.env.pause, Clock: c.env.clock}, nil
+	client := &operator.Client{Controllers: addrs, Credentials: insecure.NewCredentials(), Attempt: c.attempt, Rounds: rounds, Between: between,
+		Pause: c.env.pause, Clock: c.env.clock}
+	if c.settings != "" {
+		if err := c.secure(client); err != nil {
+			return nil, err
+		}
+	}
+	if len(client.Controllers) == 0 {
+		return nil, fail(exitUsage, "give -settings FILE or -controllers IP:port,IP:port, or set "+controllersVariable, "no controllers given")
+	}
+	return client, nil
+}
+
+// secure gives the client the certificate, the token and, unless the flag names them, the controllers of the settings.
+func (c *connection) secure(client *operator.Client) error {
+	settings, err := configurator.Read[configurator.OperatorSettings](c.settings)
+	if err != nil {
+		return fail(exitUsage, "see docs/settings.md", "%v", err)
+	}
+	if len(client.Controllers) == 0 {
+		client.Controllers = settings.Controllers
+	}
+	self := authenticator.Peer{Role: authenticator.Operator, Name: settings.Name}
+	security, err := authenticator.New(settings.Security, self, c.env.clock, func(error) {})
+	if err != nil {
+		return fail(exitFailed, "", "%v", err)
+	}
+	token, err := authenticator.NewOperatorToken(settings)
+	if err != nil {
+		return fail(exitFailed, "", "%v", err)
+	}
+	c.name = settings.Name
+	client.Attempt = min(client.Attempt, settings.Timeout)
+	client.Credentials, client.PerRPC = security.ClientCredentials(specifier.Controller, ""), token
+	return nil
 }
 
 // read returns the state in force.
--- a/tally/profilesshow.go
+++ b/tally/profilesshow.go
@@ -54,7 +54,8 @@
 	if c.json {
 		return writeJSON(c.env.stdout, file)
 	}
-	text, err := yaml.Marshal(file)
+	// A zero means the default, and is refused in a file.
+	text, err := yaml.MarshalWithOptions(file, yaml.OmitEmpty())
 	if err != nil {
 		return err
 	}
--- a/tally/request.go
+++ b/tally/request.go
@@ -20,7 +20,8 @@
 
 // requestFlags is their part of a usage text.
 const requestFlags = `  -request ID        id of the request; give the printed one again to resend after a lost answer
-  -operator NAME     who makes the change; default $USER
+  -operator NAME     who makes the change; default the name in the settings,
+                     without settings $USER
 `
 
 func (r *request) setFlags(f *flag.FlagSet) {
@@ -32,6 +33,9 @@
 // announce chooses the request's id and prints it before anything is sent, so that the operator
 // has it when the answer is lost.
 func (r *request) announce(detail string) error {
+	if r.name != "" {
+		r.operator = r.name // the token is valid for this name only
+	}
 	for _, field := range []struct{ flag, text string }{{"-operator", r.operator}, {"-request", r.id}} {
 		if len(field.text) > specifier.MaxName {
 			return fail(exitUsage, "", "%s has %d bytes, expected at most %d", field.flag, len(field.text), specifier.MaxName)
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -142,9 +142,9 @@
 	for name, c := range map[string]struct{ text, want string }{
 		"unknown field": {"Profiles:\n  - Name: a\n    Service: b\n    Prioritty: 1\n", "Prioritty"},
 		"wrong values":  {"Profiles:\n  - Name: a\n    Service: b\n    Priority: 10\n  - Name: c\n", "Profiles[0].Priority"},
-		"repeats":       {"Teams:\n  - Name: a\n    Share: 1\nRemoveTeams: [a]\n", "RemoveTeams[0]: repeats team a"},
-		"empty":         {"Profiles: []\n", "changes nothing"},
-		"too long":      {strings.Repeat("#", maxFile+1), "bytes"},
+		"repeats":       {"Teams:\n  - Name: a\n    Share: 1\nRemoveTeams: [a]\n", `RemoveTeams[0]: "a" is already named by Teams[0]`},
+		"empty":         {"Profiles: []\n", "Profiles: missing, expected at least one profile or team"},
+		"too long":      {strings.Repeat("#", maxFile+1), "longer than 1MiB"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFake(t)
