--- a/controller/server/cluster_test.go
+++ b/controller/server/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"oleandertally/core/authenticator"
@@ -33,14 +34,17 @@
 
 // cluster is real controllers on loopback.
 type cluster struct {
-	t          testing.TB
-	folder     string
-	consensus  replicator.Settings
-	peers      []Peer
-	running    []*running
-	pool       *dialer.Pool
-	owner      specifier.Identity
-	openFolder func(path string) (folder, error)
+	t            testing.TB
+	folder       string
+	consensus    replicator.Settings
+	peers        []Peer
+	running      []*running
+	pool         *dialer.Pool
+	owner        specifier.Identity
+	openFolder   func(path string) (folder, error)
+	syncDelay    time.Duration // added to each sync
+	memberLease  time.Duration
+	statsHandler statsSwitch
 }
 
 // running is one controller that was started.
@@ -55,6 +59,7 @@
 	c := &cluster{t: t, folder: t.TempDir(), consensus: replicator.Defaults(), pool: &dialer.Pool{Credentials: insecure.NewCredentials()},
 		owner: specifier.Identity{Name: "entry-1", Incarnation: 1}, running: make([]*running, size)}
 	c.consensus.Heartbeat, c.consensus.Lease, c.consensus.ElectionTimeout = 50*time.Millisecond, 200*time.Millisecond, 300*time.Millisecond
+	c.memberLease = time.Minute
 	number := clusters.Add(1)
 	for i := range size {
 		addr := netip.AddrFrom4([4]byte{127, byte(os.Getpid()%200 + 20), byte(number), byte(i + 1)})
@@ -85,9 +90,9 @@
 	security, err := authenticator.New(configurator.SecuritySettings{Insecure: true}, authenticator.Peer{}, time.Now, func(error) {})
 	must.NoError(c.t, err)
 	return &Controller{Name: c.peers[i].Name, Zone: "heredia", Addr: c.peers[i].Addr, DataFolder: c.dataFolder(i), Peers: c.peers,
-		Bootstrap: bootstrap, MemberLease: time.Minute, MaxSubmissions: 1_000_000, MaxMessage: encoder.MaxMessage, Consensus: c.consensus,
+		Bootstrap: bootstrap, MemberLease: c.memberLease, MaxSubmissions: 1_000_000, MaxMessage: encoder.MaxMessage, Consensus: c.consensus,
 		Security: security, Metrics: reporter.NewController(), Health: supervisor.NewHealth(Conditions()...), Log: zerolog.Nop(),
-		openFolder: c.openFolder}
+		openFolder: c.openFolder, serverOptions: []grpc.ServerOption{grpc.StatsHandler(&c.statsHandler)}}
 }
 
 func (c *cluster) dataFolder(i int) string { return filepath.Join(c.folder, c.peers[i].Name) }
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"oleandertally/controller/driver"
 	"oleandertally/controller/sequencer"
@@ -52,19 +53,20 @@
 	Health         *supervisor.Health // with Conditions
 	Log            zerolog.Logger
 
-	mailbox    *mailer.Mailbox[driver.Event]
-	registry   *registry
-	disk       *disk
-	peers      *peers
-	joins      *calls[driver.JoinAnswered]
-	operators  *operators
-	handOvers  *calls[driver.HandedOver]
-	measures   *calls[driver.Measured]
-	fault      chan error
-	recovered  recovery
-	machine    *driver.Driver
-	listener   net.Listener
-	openFolder func(path string) (folder, error) // of the file system unless a test injects faults
+	mailbox       *mailer.Mailbox[driver.Event]
+	registry      *registry
+	disk          *disk
+	peers         *peers
+	joins         *calls[driver.JoinAnswered]
+	operators     *operators
+	handOvers     *calls[driver.HandedOver]
+	measures      *calls[driver.Measured]
+	fault         chan error
+	recovered     recovery
+	machine       *driver.Driver
+	listener      net.Listener
+	serverOptions []grpc.ServerOption               // added by tests
+	openFolder    func(path string) (folder, error) // of the file system unless a test injects faults
 }
 
 // Check returns an error that names the first field that is missing.
@@ -138,7 +140,7 @@
 func (c *Controller) serve(ctx context.Context) error {
 	pool := &dialer.Pool{Credentials: c.Security.ClientCredentials(specifier.Controller, "")}
 	defer pool.Close()
-	server := dialer.NewGuardedServer(c.Security.ServerOptions(guard, c.MaxMessage)...)
+	server := dialer.NewGuardedServer(append(c.Security.ServerOptions(guard, c.MaxMessage), c.serverOptions...)...)
 	encoder.RegisterRegistryServer(server, c.registry)
 	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Identify: c.Security.CheckOperator})
 	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security})
--- /dev/null
+++ b/controller/server/snapshotahead_test.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/specifier"
+)
+
+// Guards against a controller that can't start, or appends at the wrong place, after a crash between the
+// installation of a snapshot and the reset of the journal: the journal ends before the snapshot then.
+func TestSnapshotAhead(t *testing.T) {
+	c := newCluster(t, 1)
+	c.consensus.SnapshotEvery, c.consensus.KeepEntries = 20, 0
+	c.begin()
+	accept := func(from, to int) {
+		for i := from; i < to; i++ {
+			must.Eq(t, specifier.Accepted, c.propose(c.accept(i)).Verdict)
+		}
+	}
+	journals := func() []string {
+		names, err := filepath.Glob(filepath.Join(c.dataFolder(0), "*.journal"))
+		must.NoError(t, err)
+		return names
+	}
+	accept(0, 5)
+	early := journals()
+	must.Len(t, 1, early)
+	old, err := os.ReadFile(early[0])
+	must.NoError(t, err)
+	accept(5, 60)
+	must.ErrorIs(t, c.kill(0), context.Canceled)
+	for _, name := range journals() {
+		must.NoError(t, os.Remove(name))
+	}
+	must.NoError(t, os.WriteFile(early[0], old, 0o600))
+	for round := range 2 {
+		c.start(0, false)
+		c.assertAccepted(20) // the snapshot holds more than these
+		must.Eq(t, specifier.Accepted, c.propose(c.accept(100+round)).Verdict)
+		must.ErrorIs(t, c.kill(0), context.Canceled)
+	}
+	c.start(0, false)
+	conflicting := c.accept(100)
+	conflicting.Digest[0] = 2
+	must.Eq(t, specifier.Conflict, c.propose(conflicting).Verdict)
+}
