--- a/core/attender/attender.go
+++ b/core/attender/attender.go
@@ -28,7 +28,9 @@
 	Controllers []netip.AddrPort
 	Pool        *dialer.Pool
 	Notify      func(context.Context, Notice) error // called from one goroutine
-	Log         zerolog.Logger
+	// Load returns what presences report; nil for a member that has none.
+	Load func() *specifier.Load
+	Log  zerolog.Logger
 
 	changes  chan specifier.Member
 	roster   roster
@@ -71,6 +73,28 @@
 	return context.Cause(ctx)
 }
 
+// RunUntil attends until leave is closed, and then returns nil, or until ctx ends.
+func (a *Attender) RunUntil(ctx context.Context, leave <-chan struct{}) error {
+	attending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, _ := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		select {
+		case <-leave:
+			cancel()
+		case <-attending.Done():
+		}
+		return nil
+	})
+	err := a.Run(attending)
+	cancel()
+	_ = group.Wait()
+	if ctx.Err() == nil && errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // session attends at one controller. It returns the leader that the controller names, if any.
 func (a *Attender) session(ctx context.Context, addr netip.AddrPort) (leader netip.AddrPort, err error) {
 	conn, err := a.Pool.Conn(addr)
@@ -173,6 +197,9 @@
 		member := a.Member
 		presence.Member = &member
 	}
+	if a.Load != nil {
+		presence.Load = a.Load()
+	}
 	// While an answer is outstanding the earlier time stands, so that a lease is never counted
 	// from a later presence than the one it answers.
 	if a.sent.IsZero() {
--- a/core/dialer/pool.go
+++ b/core/dialer/pool.go
@@ -18,7 +18,8 @@
 // Pool shares connections. Fields are set before use; it is safe for concurrent use.
 type Pool struct {
 	Credentials credentials.TransportCredentials
-	Stats       stats.Handler // default none
+	MaxMessage  int // bytes; default encoder.MaxMessage
+	Stats       []stats.Handler
 
 	mutex sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
@@ -43,9 +44,13 @@
 }
 
 func (p *Pool) options() []grpc.DialOption {
+	bound := p.MaxMessage
+	if bound == 0 {
+		bound = encoder.MaxMessage
+	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.Credentials),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(bound), grpc.MaxCallSendMsgSize(bound)),
 		// The default of two minutes would keep a process away from a peer long after it came back.
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
@@ -54,8 +59,8 @@
 		// A silent partition shows as a broken stream after Time plus Timeout.
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
 	}
-	if p.Stats != nil {
-		options = append(options, grpc.WithStatsHandler(p.Stats))
+	for _, handler := range p.Stats {
+		options = append(options, grpc.WithStatsHandler(handler))
 	}
 	return options
 }
--- a/dispatch/scheduler/delayed.go
+++ b/dispatch/scheduler/delayed.go
@@ -5,8 +5,7 @@
 // delayed is a task that is queued again later.
 type delayed struct {
 	at   time.Time
-	task held
-	job  *job
+	task *task
 }
 
 func (d delayed) before(other delayed) bool {
--- a/dispatch/scheduler/engine.go
+++ b/dispatch/scheduler/engine.go
@@ -39,16 +39,25 @@
 	ejected    []specifier.Identity
 	lastShort  time.Time
 	refreshed  time.Time
-	sentAt     time.Time
+	slowAt     time.Time
+	paced      []*agent // sent paceTasks tasks lately, oldest first
+	spare      []*task
 	sending    []Assignment // the buffer that Dispatch returns
 }
 
 const (
 	// refreshEvery is how often room that depends on the age of reports is computed again while tasks wait.
 	refreshEvery = 20 * time.Millisecond
+	// slowEvery is how often running tasks are looked at: often against the seconds that a straggler takes, rarely
+	// enough to cost under a thousandth of a core at 940 agents.
+	slowEvery = 250 * time.Millisecond
+	// queueTime is what a task may wait at its agent before it starts; 99% start sooner.
+	queueTime = 500 * time.Millisecond
 	// refusalPause is how long an agent that refused a task gets none: its upstream is absent or it is draining, and
 	// the report or record of this is on its way.
 	refusalPause = 100 * time.Millisecond
+	// unlearnedShare of the time left lets a job of a profile that has not run through admission.
+	unlearnedShare = 0.1
 	// urgentWithin is how far ahead a key may lie to count as nearly due. A job of 10 tasks is so on arrival.
 	urgentWithin = time.Second
 	// lendAfter is how long no short work must have arrived before long work may take more than its share.
@@ -93,22 +102,33 @@
 		item.Order.At = item.Order.At.Add(delay)
 		item.Order = item.Order.Guard(now, item.Deadline)
 		e.retrier.First(item.Profile, e.profiles[item.Profile].RetryBudget)
-		if e.push(job, item, 0) == free {
+		if e.push(now, job, item, 0) == free {
 			e.lastShort = now
 		}
 	}
 }
 
 // push adds a task to the lane of its profile's class.
-func (e *Engine[P, T]) push(job *job, item Item, attempts int) lane {
+func (e *Engine[P, T]) push(now time.Time, job *job, item Item, attempts int) lane {
 	typical := e.profiles[item.Profile].TypicalTime
 	kind := laneOf(e.classifier.Class(item.Profile, typical))
-	next := waiting{item: item, job: job, lane: kind, attempts: attempts, expected: e.classifier.Mean(item.Profile, typical)}
+	next := e.allocate()
+	*next = task{item: item, job: job, lane: kind, attempts: attempts, expected: e.mean(item.Profile, item.Deadline.Sub(now))}
 	job.pool.count(next, 1)
 	job.pool.waiting[kind].Push(next)
 	return kind
 }
 
+// mean returns the expected run time of a task. A declared time that is ten times too long must not keep a profile from
+// ever running, and so from being learned: until then it counts as at most a part of the time left.
+func (e *Engine[P, T]) mean(profile string, left time.Duration) time.Duration {
+	typical := e.profiles[profile].TypicalTime
+	if !e.classifier.Learned(profile) && left > 0 {
+		return min(typical, time.Duration(unlearnedShare*float64(left)))
+	}
+	return e.classifier.Mean(profile, typical)
+}
+
 // Dispatch returns what can be sent now, in order. The slice is valid until the next call.
 func (e *Engine[P, T]) Dispatch(now time.Time) []Assignment {
 	e.sending = e.sending[:0]
@@ -142,7 +162,7 @@
 }
 
 // send places the first task of a lane.
-func (e *Engine[P, T]) send(now time.Time, pool *pool, next waiting) bool {
+func (e *Engine[P, T]) send(now time.Time, pool *pool, next *task) bool {
 	rule := e.rule(now)
 	rule.patient = next.lane == limited || next.item.Order.At.Sub(now) > urgentWithin
 	if next.late(now) {
@@ -155,9 +175,10 @@
 	}
 	pool.waiting[next.lane].Pop()
 	pool.count(next, -1)
-	next.job.held++
-	next.job.sent = append(next.job.sent, sent{agent: agent, key: next.item.Key})
-	agent.held[next.item.Key] = held{item: next.item, lane: next.lane, sent: now, attempts: next.attempts + 1}
+	next.agent, next.sent = agent, now
+	next.attempts++
+	agent.held[next.item.Key] = next
+	next.job.note(next)
 	pool.held++
 	pool.limiter.Held(next.item.Team, 1)
 	pool.short.observe(now, pool.held-pool.long)
@@ -166,8 +187,9 @@
 		pool.long++
 		agent.zone.long++
 	}
-	agent.pace(now)
-	e.sentAt = now
+	if agent.pace(now); agent.paced == paceTasks {
+		e.paced = append(e.paced, agent)
+	}
 	e.ejector.Sent(&agent.health)
 	e.update(now, agent)
 	e.sending = append(e.sending, Assignment{Agent: agent.member.Identity, Item: next.item})
@@ -195,6 +217,7 @@
 	if ok {
 		e.classifier.Record(task.item.Profile, runTime)
 	}
+	e.recycle(task)
 	agent.pool.short.observe(now, agent.pool.held-agent.pool.long)
 	e.update(now, agent)
 }
@@ -214,16 +237,18 @@
 
 // requeue queues a task that is proved not started. One that could only come back past its deadline is dropped: the
 // coordinator ends its job at the deadline.
-func (e *Engine[P, T]) requeue(now time.Time, task held) {
+func (e *Engine[P, T]) requeue(now time.Time, task *task) {
 	attempt := retrier.Attempt{Profile: task.item.Profile, Cause: retrier.NotStarted, Count: task.attempts, Deadline: task.item.Deadline}
 	at, ok := e.retrier.Plan(now, attempt)
 	if !ok {
+		e.recycle(task)
 		return
 	}
 	job := e.job(task.item.Key.Job, e.pool(task.item.Service))
 	job.team = task.item.Team
 	job.delayed++
-	e.delayed.Push(delayed{at: at, task: task, job: job})
+	task.job = job
+	e.delayed.Push(delayed{at: at, task: task})
 }
 
 // wake queues the delayed tasks whose time has come.
@@ -234,18 +259,19 @@
 			return
 		}
 		e.delayed.Pop()
-		next.job.delayed--
-		if !next.job.forgotten {
-			e.push(next.job, next.task.item, next.task.attempts)
+		next.task.job.delayed--
+		if !next.task.job.forgotten {
+			e.push(now, next.task.job, next.task.item, next.task.attempts)
 		}
+		e.recycle(next.task)
 	}
 }
 
 // release takes a task off an agent.
-func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (held, bool) {
+func (e *Engine[P, T]) release(agent *agent, key specifier.TaskKey) (*task, bool) {
 	task, ok := agent.held[key]
 	if !ok {
-		return task, false
+		return nil, false
 	}
 	delete(agent.held, key)
 	agent.pool.held--
@@ -255,13 +281,27 @@
 		agent.pool.long--
 		agent.zone.long--
 	}
-	if job := e.jobs[key.Job]; job != nil {
-		job.held--
-		e.drop(key.Job, job)
-	}
+	task.job.ended(task)
+	e.drop(key.Job, task.job)
 	return task, true
 }
 
+// allocate returns a record for a task, one of those that were recycled if there is any.
+func (e *Engine[P, T]) allocate() *task {
+	last := len(e.spare) - 1
+	if last < 0 {
+		return &task{}
+	}
+	spare := e.spare[last]
+	e.spare = e.spare[:last]
+	return spare
+}
+
+func (e *Engine[P, T]) recycle(done *task) {
+	*done = task{}
+	e.spare = append(e.spare, done)
+}
+
 // Reported notes the load that an agent reported.
 func (e *Engine[P, T]) Reported(now time.Time, id specifier.Identity, load specifier.Load) {
 	if agent := e.agents[id]; agent != nil {
@@ -280,8 +320,10 @@
 		return
 	}
 	e.abandon(job)
-	for _, each := range job.sent {
-		e.release(each.agent, each.key)
+	for len(job.sent) > 0 {
+		last := job.sent[len(job.sent)-1]
+		e.release(last.agent, last.item.Key)
+		e.recycle(last)
 	}
 	delete(e.jobs, id)
 }
@@ -309,8 +351,12 @@
 		return next
 	}
 	refresh := e.refreshed.Add(refreshEvery)
-	if paced := e.sentAt.Add(paceInterval); paced.Before(refresh) && paced.After(e.refreshed) {
-		refresh = paced
+	// Only an agent that still waits for its pace counts: a time that Dispatch has handled must not come
+	// again, or the caller's loop would spin.
+	if len(e.paced) > 0 {
+		if paced := e.paced[0].paceAt.Add(paceInterval); paced.Before(refresh) {
+			refresh = paced
+		}
 	}
 	if next.IsZero() || refresh.Before(next) {
 		return refresh
@@ -318,16 +364,29 @@
 	return next
 }
 
-// refresh computes the room of all agents again, since the views age.
+// refresh computes the room of all agents again every refreshEvery, since the views age, and that of agents that were
+// sent several tasks at once as soon as they may get more.
 func (e *Engine[P, T]) refresh(now time.Time) {
-	if now.Sub(e.refreshed) < paceInterval {
+	if now.Sub(e.refreshed) >= refreshEvery {
+		e.refreshed = now
+		e.paced = e.paced[:0]
+		slow := now.Sub(e.slowAt) >= slowEvery
+		if slow {
+			e.slowAt = now
+		}
+		for _, pool := range e.order {
+			for _, agent := range pool.agents {
+				if slow {
+					e.findSlow(now, agent)
+				}
+				e.update(now, agent)
+			}
+		}
 		return
 	}
-	e.refreshed = now
-	for _, pool := range e.order {
-		for _, agent := range pool.agents {
-			e.update(now, agent)
-		}
+	for len(e.paced) > 0 && now.Sub(e.paced[0].paceAt) >= paceInterval {
+		e.update(now, e.paced[0])
+		e.paced = slices.Delete(e.paced, 0, 1)
 	}
 }
 
@@ -381,7 +440,7 @@
 
 // drop removes a job that has nothing left.
 func (e *Engine[P, T]) drop(id specifier.JobID, job *job) {
-	if job.held == 0 && job.delayed == 0 && !job.forgotten && job.waiting == [lanes]int{} {
+	if len(job.sent) == 0 && job.delayed == 0 && !job.forgotten && job.waiting == [lanes]int{} {
 		delete(e.jobs, id)
 	}
 }
--- a/entry/coordinator/submissions.go
+++ b/entry/coordinator/submissions.go
@@ -58,7 +58,10 @@
 		return &answer
 	}
 	if c.draining {
-		return refuse(specifier.Stopping, "this entry is shutting down")
+		answer := specifier.Refuse(specifier.Stopping, "this entry is shutting down")
+		// Until then every entry answers the key with this refusal.
+		answer.RetryAfter = specifier.RefusalHold
+		return &answer
 	}
 	if !job.spec.Deadline.After(now) {
 		return refuse(specifier.DeadlinePast, "TimeLeft: the deadline has passed")
@@ -309,6 +312,7 @@
 		return // an older configuration never replaces a newer one
 	}
 	c.configuration = configuration
+	c.Scheduler.SetTeams(now, configuration.Teams)
 	for _, job := range c.sorted(func(j *job) bool { return j.phase == stale }) {
 		c.reviewStale(now, job)
 	}
--- a/entry/coordinator/world_test.go
+++ b/entry/coordinator/world_test.go
@@ -34,6 +34,7 @@
 	entries []*entryNode
 	agents  []*agentNode
 	links   map[string]*linkPair
+	stuck   int    // ticks in a row that did not move the clock
 	last    uint64 // of links, waiters, incarnations
 	events  []recorder.Event
 	counts  map[string]uint64
@@ -49,6 +50,7 @@
 	process specifier.Identity // its first identity, under which it records events
 	machine *coordinator.Coordinator
 	alive   bool
+	drained bool
 	cut     bool // from the controllers
 	pending []specifier.Command
 	asks    map[coordinator.Waiter]ask // of other entries, waiting here
@@ -66,6 +68,7 @@
 	id      specifier.Identity
 	machine *executor.Executor
 	alive   bool
+	left    bool // every entry has released it
 	cut     bool // from the controllers
 	until   time.Time
 	running []executor.Run
@@ -126,7 +129,7 @@
 	a := w.agents[i]
 	a.id = specifier.Identity{Name: fmt.Sprintf("worker-%d", i), Incarnation: specifier.Incarnation(w.next())}
 	a.machine = executor.New(100, 1<<20)
-	a.alive, a.cut, a.running = true, false, nil
+	a.alive, a.left, a.cut, a.running = true, false, false, nil
 	w.attend(a)
 	w.agent(a, executor.UpstreamUp{Addr: netip.MustParseAddrPort("127.0.0.1:2"), Slots: slots, Until: w.now.Add(24 * time.Hour)})
 }
@@ -223,6 +226,10 @@
 			w.record(e.process, action.Event)
 		case coordinator.Propose:
 			e.pending = append(e.pending, action.Command)
+		case coordinator.Drained:
+			e.drained = true
+		case coordinator.Released:
+			w.toAgent(e, action.Agent, func(l *linkPair) executor.Event { return executor.Released{Entry: e.id, Link: l.number} })
 		case coordinator.Reply:
 			w.reply(e, action)
 		case coordinator.AskOwner:
@@ -293,6 +300,11 @@
 			w.toEntry(a, action.Entry, coordinator.Reported{Agent: a.id, Job: action.Job, Epoch: action.Epoch, Tasks: action.Tasks, Mark: action.Mark})
 		case executor.Greet:
 			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
+		case executor.Farewell:
+			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
+			w.toEntry(a, action.Entry, coordinator.AgentLeaving{Agent: a.id})
+		case executor.Left:
+			a.left = true
 		case executor.Announce:
 			for _, e := range w.entries {
 				w.toEntry(a, e.id, coordinator.Loaded{Agent: a.id, Load: action.Load})
@@ -415,6 +427,23 @@
 			target = maxTime(next, w.now)
 		}
 	}
+	if target.Equal(w.now) {
+		w.stuck++
+		if w.stuck > 2000 {
+			for _, e := range w.entries {
+				if next := e.machine.Next(); e.alive && !next.IsZero() && !next.After(w.now) {
+					w.t.Fatalf("%s is due at %v, now %v, and makes no progress: scheduler %v", e.id, next, w.now, e.machine.Scheduler.Next())
+				}
+			}
+			for _, a := range w.agents {
+				if next := a.machine.Next(); a.alive && !next.IsZero() && !next.After(w.now) {
+					w.t.Fatalf("%s is due at %v, now %v, and makes no progress", a.id, next, w.now)
+				}
+			}
+		}
+	} else {
+		w.stuck = 0
+	}
 	w.now = target
 	for _, e := range w.entries {
 		if next := e.machine.Next(); e.alive && !next.IsZero() && !next.After(w.now) {
