--- /dev/null
+++ b/local/measure_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/recorder"
+	"oleandertally/core/specifier"
+	"oleandertally/replay/tracer"
+)
+
+// Guards against figures of another demand than the one that they are printed for.
+func TestTraceHasItsDemand(t *testing.T) {
+	c := measureCommand{seed: 3, entries: 2, length: 20 * time.Second}
+	for _, demand := range demands {
+		jobs := c.trace(demand).Jobs
+		var work time.Duration
+		for _, job := range jobs {
+			must.LessEq(t, longestRun, job.Longest())
+			work += job.Work()
+		}
+		// The last job arrives before the end, by a gap that is small against the run.
+		offered := work.Seconds() / (jobs[len(jobs)-1].At().Seconds() * tracer.Slots)
+		must.InDelta(t, demand, offered, 0.05*demand)
+	}
+}
+
+// Guards against waits that are measured between the clocks of two processes, or from another run.
+func TestWaits(t *testing.T) {
+	job := specifier.NewJobID("web", "a")
+	nine := time.Date(2026, 5, 4, 9, 0, 0, 0, time.UTC)
+	at := func(process string, millis int, kind recorder.Kind, task string) recorder.Event {
+		return recorder.Event{At: nine.Add(time.Duration(millis) * time.Millisecond), Process: process, Kind: kind, Job: job, Task: task}
+	}
+	w := newWaits([]recorder.Event{
+		at("entry-1/1", 0, recorder.JobAccepted, ""),
+		at("entry-1/1", 3, recorder.TaskAssigned, "a"),
+		at("entry-1/1", 9, recorder.TaskAssigned, "b"),
+		at("worker-1/2", 500, recorder.TaskQueued, "a"),
+		at("worker-2/3", 900, recorder.TaskQueued, "b"),
+		at("worker-1/2", 520, recorder.TaskStarted, "a"),
+		at("worker-2/3", 907, recorder.TaskStarted, "b"),
+	})
+	must.Eq(t, spread{3 * time.Millisecond, 9 * time.Millisecond}, w.entry)
+	must.Eq(t, spread{7 * time.Millisecond, 20 * time.Millisecond}, w.agent)
+}
