Show narrow and wide jobs apart in the measurement

Cause: the p99 of jobs of short tasks is that of wide jobs; the replay calls jobs of 1 to 8 tasks short. Change: jobs of 1 to 8 tasks and the worst of over 60 have columns of their own. Conclusion: the figures compare with the replay's.

--- a/local/measurecommand.go
+++ b/local/measurecommand.go
@@ -136,12 +136,14 @@
 // print returns how many promises were broken.
 func (c *measureCommand) print(all []measurement) (broken int) {
 	table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "DEMAND\tJOBS\tTASKS\tP50\tP99\tSHORT P50\tSHORT P99\tWAIT AT ENTRY P50, P99\tWAIT AT AGENT P50, P99\tCPU A TASK\tOUTCOMES")
+	fmt.Fprintln(table, "DEMAND\tJOBS\tTASKS\tALL P50, P99\tTASKS TO 1 S P50, P99\t1 TO 8 TASKS P50, P99\tWORST OF OVER 60\tWAIT AT ENTRY P50, P99\tWAIT AT AGENT P50, P99\tCPU A TASK\tOUTCOMES")
 	for _, m := range all {
-		p50, p99 := m.quantiles(func(tracer.Job) bool { return true })
-		short50, short99 := m.quantiles(isShort)
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%s\t%s\t%v\t%s\n", m.demand, len(m.results), m.tasks(),
-			p50, p99, short50, short99, m.waits.entry, m.waits.agent, m.used/time.Duration(m.tasks()), m.outcomes())
+		p50, p99, _ := m.quantiles(isAny)
+		short50, short99, _ := m.quantiles(isShort)
+		narrow50, narrow99, _ := m.quantiles(isNarrow)
+		_, _, wide := m.quantiles(isWide)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.3f, %.3f\t%.3f, %.3f\t%.3f, %.3f\t%.3f\t%s\t%s\t%v\t%s\n", m.demand, len(m.results), m.tasks(),
+			p50, p99, short50, short99, narrow50, narrow99, wide, m.waits.entry, m.waits.agent, m.used/time.Duration(m.tasks()), m.outcomes())
 		broken += len(m.report.broken)
 	}
 	table.Flush()
--- a/local/measurement.go
+++ b/local/measurement.go
@@ -23,6 +23,9 @@
 	awaits    = encoder.Peer_Await_FullMethodName
 	// shortRun is the longest task of a job of short tasks.
 	shortRun = time.Second
+	// narrowTasks and wideTasks are those of the replay's tables: a narrow job is what they call short.
+	narrowTasks = 8
+	wideTasks   = 60
 )
 
 // measurement is what one demand gave.
@@ -36,10 +39,16 @@
 	report  *report
 }
 
+func isAny(tracer.Job) bool { return true }
+
 func isShort(job tracer.Job) bool { return job.Longest() <= shortRun }
 
-// quantiles returns the median and p99 of response over ideal of the complete jobs that keep selects.
-func (m measurement) quantiles(keep func(tracer.Job) bool) (p50, p99 float64) {
+func isNarrow(job tracer.Job) bool { return len(job.RunMillis) <= narrowTasks }
+
+func isWide(job tracer.Job) bool { return len(job.RunMillis) > wideTasks }
+
+// quantiles returns the median, p99 and worst of response over ideal of the complete jobs that keep selects.
+func (m measurement) quantiles(keep func(tracer.Job) bool) (p50, p99, worst float64) {
 	var ratios []float64
 	for _, result := range m.results {
 		if result.Err == nil && result.Response.Outcome == specifier.Complete && keep(result.Job) {
@@ -47,10 +56,10 @@
 		}
 	}
 	if len(ratios) == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	slices.Sort(ratios)
-	return quantile(ratios, 0.5), quantile(ratios, 0.99)
+	return quantile(ratios, 0.5), quantile(ratios, 0.99), ratios[len(ratios)-1]
 }
 
 func (m measurement) tasks() int {
