--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -62,7 +62,6 @@
 	// Notice is how long callers are still answered NotRun after a shutdown began, so that the balancer
 	// has time to see that the entry is not ready.
 	Notice time.Duration
-	Stats  stats.Handler // of all streams that the entry opens; default none
 
 	self     atomic.Pointer[specifier.Identity]
 	mailbox  *mailer.Mailbox[coordinator.Event]
