Divide quotas between entries by leases, and claim loopback addresses in every test

Change: entries report what teams need with each renewal, the leader grants slots for the length of the lease, at most the slots there are; for one lease after a change of the leader up to twice that may be promised. The test claims its addresses.

--- a/controller/sequencer/attendance.go
+++ b/controller/sequencer/attendance.go
@@ -23,6 +23,9 @@
 		s.attending[e.Stream] = who
 	}
 	who.renewals++
+	if e.Presence.Needs != nil {
+		who.needs = e.Presence.Needs
+	}
 	if e.Presence.Load != nil {
 		who.load, who.reported = *e.Presence.Load, true
 	}
@@ -75,6 +78,7 @@
 	for ; who.renewals > 0; who.renewals-- {
 		update := s.news(who)
 		update.Lease = s.Lease
+		update.Shares = s.shares(now, who)
 		s.out = append(s.out, Push{Stream: stream, Update: update})
 	}
 }
--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/limiter"
 	"oleandertally/state/registrar"
 )
 
@@ -46,7 +47,8 @@
 	advanced  time.Time // when the last batch was stamped
 	attending map[Stream]*attendant
 	leases    map[specifier.Identity]time.Time
-	ending    map[specifier.Identity]bool // EndMember is on its way
+	ending    map[specifier.Identity]bool        // EndMember is on its way
+	lessors   map[string]*limiter.Lessor[string] // by service
 	changes   []change
 	complete  uint64 // changes holds every change after this version of the membership
 	out       []Action
@@ -61,6 +63,7 @@
 		attending: make(map[Stream]*attendant),
 		leases:    make(map[specifier.Identity]time.Time),
 		ending:    make(map[specifier.Identity]bool),
+		lessors:   make(map[string]*limiter.Lessor[string]),
 		complete:  state.MemberVersion(),
 	}
 }
@@ -271,6 +274,7 @@
 	s.advanced = now
 	clear(s.leases)
 	clear(s.ending)
+	clear(s.lessors)
 	// The former leader's grants are not known here, so every member gets a full lease.
 	for _, member := range s.Registrar.Members() {
 		if member.State != specifier.Down {
--- a/core/attender/attender.go
+++ b/core/attender/attender.go
@@ -31,7 +31,9 @@
 	Notify      func(context.Context, Notice) error // called from one goroutine
 	// Load returns what presences report; nil for a member that has none.
 	Load func() *specifier.Load
-	Log  zerolog.Logger
+	// Needs returns what an entry's teams could use; nil for other members.
+	Needs func() []specifier.ServiceShare
+	Log   zerolog.Logger
 
 	changes  chan specifier.Member
 	roster   roster
@@ -186,6 +188,7 @@
 	}
 	if update.Lease > 0 && !a.sent.IsZero() {
 		notice.Until = a.sent.Add(update.Lease)
+		notice.Shares = update.Shares
 		a.sent = time.Time{}
 		timer.Reset(update.Lease / 3)
 	}
@@ -198,6 +201,9 @@
 		member := a.Member
 		presence.Member = &member
 	}
+	if a.Needs != nil {
+		presence.Needs = a.Needs()
+	}
 	if a.Load != nil {
 		presence.Load = a.Load()
 	}
--- a/core/attender/notice.go
+++ b/core/attender/notice.go
@@ -15,4 +15,6 @@
 	Configuration *specifier.Configuration
 	// Until is when the lease ends, counted from when the renewal was sent; zero when unchanged.
 	Until time.Time
+	// Shares are what an entry may count on until then.
+	Shares []specifier.ServiceShare
 }
--- a/core/encoder/presence.go
+++ b/core/encoder/presence.go
@@ -4,7 +4,7 @@
 
 // EncodePresence copies every field.
 func EncodePresence(p specifier.Presence) *Presence {
-	m := &Presence{Revision: uint64(p.Revision)}
+	m := &Presence{Revision: uint64(p.Revision), Needs: encodeShares(p.Needs)}
 	if p.Member != nil {
 		m.Member = EncodeMember(*p.Member)
 	}
@@ -17,7 +17,7 @@
 // DecodePresence returns every problem of the message's fields together.
 func DecodePresence(m *Presence) (specifier.Presence, error) {
 	c := &checker{}
-	p := specifier.Presence{Revision: specifier.Revision(m.GetRevision())}
+	p := specifier.Presence{Revision: specifier.Revision(m.GetRevision()), Needs: c.shares("Presence.Needs", m.GetNeeds())}
 	if m.GetMember() != nil {
 		member := c.member("Presence.Member", m.GetMember())
 		p.Member = &member
--- a/core/specifier/presence.go
+++ b/core/specifier/presence.go
@@ -4,5 +4,6 @@
 type Presence struct {
 	Member   *Member // in the first message, and when it changes
 	Revision Revision
-	Load     *Load // of an agent; nil when it is not reported
+	Needs    []ServiceShare // of an entry: what its teams could use
+	Load     *Load          // of an agent; nil when it is not reported
 }
--- a/core/specifier/update.go
+++ b/core/specifier/update.go
@@ -15,5 +15,6 @@
 	Configuration *Configuration // when newer than what was sent before
 	Whole         bool           // Members replaces everything known; otherwise it lists what changed
 	Members       []Member
-	MemberVersion uint64 // of the membership after Members
+	Shares        []ServiceShare // with Lease: what the entry may count on as long
+	MemberVersion uint64         // of the membership after Members
 }
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -99,10 +99,13 @@
 			c.disown(now)
 			c.self = event.Self
 		}
+		c.reportNeeds()
 	case AgentLeaving:
 		c.agentLeaving(now, event.Agent)
 	case Pinged:
 		c.out = append(c.out, Reply{Waiter: event.Waiter})
+	case SharesGranted:
+		c.sharesGranted(now, event)
 	case Draining:
 		c.drain()
 	}
--- /dev/null
+++ b/entry/coordinator/sharesgranted.go
@@ -0,0 +1,15 @@
+package coordinator
+
+import (
+	"time"
+
+	"oleandertally/core/specifier"
+)
+
+// SharesGranted carries the slots that this entry may count on for each team until a time on its clock.
+type SharesGranted struct {
+	Until  time.Time
+	Shares []specifier.ServiceShare
+}
+
+func (SharesGranted) event() {}
--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -64,6 +64,7 @@
 	Notice time.Duration
 
 	self     atomic.Pointer[specifier.Identity]
+	needs    atomic.Pointer[[]specifier.ServiceShare]
 	mailbox  *mailer.Mailbox[coordinator.Event]
 	drained  chan struct{}
 	waiters  *answerer.Waiters
@@ -176,6 +177,12 @@
 	attendance := attender.New()
 	attendance.Member = specifier.Member{Identity: e.Self(), Role: specifier.Entry, Addr: e.Settings.PeerAddr,
 		Zone: e.Settings.Zone, Rack: e.Settings.Rack}
+	attendance.Needs = func() []specifier.ServiceShare {
+		if needs := e.needs.Load(); needs != nil {
+			return *needs
+		}
+		return nil
+	}
 	attendance.Controllers, attendance.Pool, attendance.Log, attendance.Notify = e.Settings.Controllers, e.pools.controllers, e.Log, e.notify
 	group.Go(func() error {
 		defer close(e.attended)
@@ -194,7 +201,7 @@
 		if err := e.lease.Renew(ctx, notice.Until); err != nil {
 			return err
 		}
-		events = append(events, coordinator.Identified{Self: notice.Self})
+		events = append(events, coordinator.Identified{Self: notice.Self}, coordinator.SharesGranted{Until: notice.Until, Shares: notice.Shares})
 	}
 	if notice.Members != nil {
 		events = append(events, coordinator.MembersChanged{Version: notice.Version, Members: notice.Members})
@@ -237,6 +244,8 @@
 		case e.drained <- struct{}{}:
 		default: // asked twice
 		}
+	case coordinator.NeedShares:
+		e.needs.Store(&action.Needs)
 	case coordinator.Note:
 		e.Events.Add(action.Event)
 	}
--- a/local/assembler/stop_test.go
+++ b/local/assembler/stop_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -120,9 +118,11 @@
 
 func startSite(t *testing.T, starts *imitator.StartLog) *Site {
 	t.Helper()
+	claim, err := NewClaim()
+	must.NoError(t, err)
+	t.Cleanup(claim.Release)
 	site := &Site{
-		// Random within 127.0.0.0/8, so that two runs at once do not clash.
-		Layout:     Layout{Base: netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), 0, 0})},
+		Layout:     claim.Layout,
 		DataFolder: t.TempDir(), Zones: []string{"alajuela", "heredia", "cartago"}, Service: "reservas",
 		Entries: 2, Controllers: 3, Workers: 3, MemberLease: 3 * time.Second, Starts: starts,
 		Profiles: []specifier.Profile{{Name: "hold", Service: "reservas"}},
--- a/local/programs_test.go
+++ b/local/programs_test.go
@@ -130,9 +130,10 @@
 	t.Fatalf("no metric %s", name)
 }
 
-// loopback returns a random host number, so that two runs at once do not clash.
+// loopback returns a random host number, so that two runs at once do not clash. Claims of sites have the
+// second bytes from 64.
 func loopback() netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(128)), byte(rand.IntN(250)), 1})
+	return netip.AddrFrom4([4]byte{127, byte(2 + rand.IntN(60)), byte(rand.IntN(250)), 1})
 }
 
 func writeSettings(t *testing.T, host netip.Addr) string {
