--- a/local/assembler/stop_test.go
+++ b/local/assembler/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
