--- a/entry/runner/pools.go
+++ b/entry/runner/pools.go
@@ -15,16 +15,18 @@
 	entries     *dialer.Pool
 }
 
+// newPools returns empty pools. Control sees the messages to and from controllers, all those of every pool; all
+// may be nil.
 func newPools(security *authenticator.Authenticator, maxMessage int, control, all stats.Handler) pools {
+	var handlers []stats.Handler
+	if all != nil {
+		handlers = append(handlers, all)
+	}
 	pool := func(role specifier.Role) *dialer.Pool {
-		p := &dialer.Pool{Credentials: security.ClientCredentials(role, ""), MaxMessage: maxMessage}
-		if all != nil {
-			p.Stats = append(p.Stats, all)
-		}
-		return p
+		return &dialer.Pool{Credentials: security.ClientCredentials(role, ""), MaxMessage: maxMessage, Stats: handlers}
 	}
 	p := pools{controllers: pool(specifier.Controller), agents: pool(specifier.Agent), entries: pool(specifier.Entry)}
-	p.controllers.Stats = append(p.controllers.Stats, control)
+	p.controllers.Stats = append([]stats.Handler{control}, handlers...)
 	return p
 }
 
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -179,7 +179,7 @@
 	settings.Name, settings.Zone, settings.Rack = fmt.Sprintf("entry-%d", i+1), s.zone(i), fmt.Sprintf("entry-%d", i+1)
 	settings.HTTPAddr, settings.PeerAddr, settings.Controllers = s.Layout.Entry(i), s.Layout.entryPeer(i), s.controllerAddrs()
 	entry := &entryrunner.Entry{Settings: settings, Security: insecureSite(), Events: s.buffer(), Log: s.Log,
-		Metrics: reporter.NewEntry(), Health: supervisor.NewHealth(entryrunner.Conditions()...), Stats: s.Stats}
+		Stats: s.Stats, Metrics: reporter.NewEntry(), Health: supervisor.NewHealth(entryrunner.Conditions()...)}
 	return start(s.ctx, s.group, "entry", entry)
 }
 
