Warm up with another profile than the measured one

Cause: the tasks of the warm-up take no time and had the profile of the mix, so that the entries learned a mean of 1 ms for it and took every worker for a straggler. Change: the warm-up uses another profile.

--- a/local/measurecommand.go
+++ b/local/measurecommand.go
@@ -102,7 +102,9 @@
 	for i := range site.Entries {
 		sender.Entries = append(sender.Entries, site.Layout.Entry(i))
 	}
-	wide := tracer.Job{Team: "sales", Profile: "mix", TimeLeftMillis: 10_000, RunMillis: make([]int, site.Slots())}
+	// Of another profile than the mix, or the entries would learn that tasks of the mix take no time, and take
+	// every worker for a straggler.
+	wide := tracer.Job{Team: "sales", Profile: "hold", TimeLeftMillis: 10_000, RunMillis: make([]int, site.Slots())}
 	if _, err := sender.Warm(ctx, wide, site.Workers); err != nil {
 		return measurement{}, err
 	}
