--- a/entry/runner/entry.go
+++ b/entry/runner/entry.go
@@ -58,6 +58,7 @@
 	Metrics  *reporter.Entry
 	Health   *supervisor.Health
 	Log      zerolog.Logger
+	Stats    stats.Handler // of all connections that the entry opens, beside its own counts; default none
 	// Notice is how long callers are still answered NotRun after a shutdown began, so that the balancer
 	// has time to see that the entry is not ready.
 	Notice time.Duration
