--- /dev/null
+++ b/agent/executor/running.go
@@ -0,0 +1,84 @@
+package executor
+
+import (
+	"time"
+
+	"oleandertally/core/recorder"
+	"oleandertally/core/specifier"
+)
+
+func (x *Executor) runEnded(now time.Time, e RunEnded) {
+	x.queue.Done(now, e.Key)
+	job := x.jobs[e.Key.Job]
+	if job == nil {
+		return
+	}
+	task := job.tasks[e.Key.Task]
+	if task == nil || task.state != specifier.TaskRunning {
+		return
+	}
+	if e.NotStarted {
+		delete(job.tasks, e.Key.Task)
+		x.out = append(x.out, Refused{Entry: job.owner, Key: e.Key, Epoch: job.epoch, Cause: NoUpstream, Load: x.Load()})
+		x.note(recorder.TaskRefused, task, job.owner.Name, string(NoUpstream))
+		x.upstreamDown()
+		return
+	}
+	task.state = specifier.TaskEnded
+	if e.Broken {
+		task.state = specifier.TaskBroken
+	}
+	task.body, task.detail, task.runTime = e.Body, e.Detail, now.Sub(task.started)
+	x.held += len(e.Body)
+	if !e.Broken {
+		x.learned.Record(task.profile, task.runTime)
+	}
+	x.note(recorder.TaskEnded, task, job.owner.Name, e.Detail)
+	x.reports.Ended()
+	x.start(now) // first, so that the load in the answer counts what now runs in the free slot
+	x.tell(job, task)
+}
+
+// start runs queued tasks in the free slots.
+func (x *Executor) start(now time.Time) {
+	if !x.leased(now) || x.slots == 0 {
+		return
+	}
+	x.queue.SetSlots(x.slots)
+	for _, late := range x.queue.Expire(now) {
+		x.dropTask(late.TaskKey(), Late)
+	}
+	for _, entry := range x.queue.Start(now) {
+		job := x.jobs[entry.Key.Job]
+		task := job.tasks[entry.Key.Task]
+		task.state, task.started, task.waited = specifier.TaskRunning, now, now.Sub(task.queued)
+		x.note(recorder.TaskStarted, task, job.owner.Name, "")
+		x.out = append(x.out, Run{Addr: x.upstream, Key: task.key, Epoch: task.epoch, Payload: task.payload, Deadline: task.deadline})
+		task.payload = nil
+	}
+}
+
+func (x *Executor) tell(job *holding, task *record) {
+	x.out = append(x.out, Done{Entry: job.owner, Key: task.key, Epoch: job.epoch, Broken: task.state == specifier.TaskBroken,
+		Body: task.body, Detail: task.detail, RunTime: task.runTime, Waited: task.waited, Load: x.Load()})
+}
+
+// reportLoad tells the entries whose view of this agent is far off.
+func (x *Executor) reportLoad(now time.Time) {
+	load := x.Load()
+	for _, entry := range x.reports.Due(now, load) {
+		x.out = append(x.out, Greet{Entry: entry, Load: load})
+	}
+}
+
+// longShare returns the smallest share that a profile sets: the slots are shared by all profiles of
+// the upstream.
+func longShare(profiles map[string]specifier.Profile) float64 {
+	share := 0.0
+	for _, profile := range profiles {
+		if profile.LongShare > 0 && (share == 0 || profile.LongShare < share) {
+			share = profile.LongShare
+		}
+	}
+	return share
+}
