--- a/controller/server/bench_test.go
+++ b/controller/server/bench_test.go
@@ -148,7 +148,9 @@
 				began := time.Now()
 				c.start(0, false)
 				opened := time.Since(began)
-				must.Eq(b, specifier.Attached, c.propose(c.benchAccept(0)).Verdict)
+				other := c.benchAccept(changes - 1)
+				other.Digest[0] = 1 // conflicts with the last one that was accepted
+				must.Eq(b, specifier.Conflict, c.propose(other).Verdict)
 				b.ReportMetric(opened.Seconds()*1e3, "open-ms")
 				b.ReportMetric(time.Since(began).Seconds()*1e3, "first-answer-ms")
 				_ = c.kill(0)
