--- a/controller/sequencer/sequencer_test.go
+++ b/controller/sequencer/sequencer_test.go
@@ -131,14 +131,13 @@
 // Guards against a sync for each command under load.
 func TestCommandsShareABatch(t *testing.T) {
 	f := newFixture(t)
-	for i := range 100 {
+	for i := range 1000 {
 		f.step(sequencer.Proposed{Stream: 1, Sequence: uint64(i + 1), Command: accept(i, "entry")})
 	}
-	batches := len(f.submitted)
+	must.Len(t, 64, f.submitted) // as many as may be in the log; the disk shares its syncs between them
 	f.commit()
-	must.Len(t, 100, f.decided)
-	must.LessEq(t, 5, f.index) // four in flight, and one for all that came meanwhile
-	must.Less(t, 100, batches)
+	must.Len(t, 1000, f.decided)
+	must.Eq(t, 65, f.index) // and one for all that came meanwhile
 }
 
 // Guards against a command without an answer when the lead is lost, and against an answer for an entry of
