Record the controllers' events for the time line, and load the new example in its test

Change: controllers record elections, members, drains and configurations and serve Timeline; tally falls back to the name of the user; the example is in the test.

--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleandertally/core/collector"
+	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/limiter"
 	"oleandertally/state/registrar"
@@ -209,6 +210,9 @@
 	version := s.Registrar.MemberVersion()
 	decisions := s.Registrar.Apply(e.Index, e.Batch)
 	s.noteChanges(version, e.Batch)
+	for i, command := range e.Batch.Commands {
+		s.noteChange(command, decisions[i])
+	}
 	waiting, mine := s.logged[e.Index]
 	delete(s.logged, e.Index)
 	if mine && waiting.term == e.Term {
@@ -260,6 +264,7 @@
 }
 
 func (s *Sequencer) led(now time.Time) {
+	s.note(recorder.LeaderElected, "", "")
 	s.leads = true
 	s.advanced = now
 	clear(s.leases)
@@ -277,6 +282,9 @@
 // followed answers everything that waits: its outcome is unknown or it had none, and the
 // sender asks the new leader, since every command may be repeated.
 func (s *Sequencer) followed(e Followed) {
+	if s.leads {
+		s.note(recorder.LeaderLost, leaderText(e.Leader), "")
+	}
 	s.leads = false
 	s.leader = e.Leader
 	for _, ticket := range slices.Sorted(maps.Keys(s.submitted)) {
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -22,6 +22,7 @@
 	"oleandertally/core/encoder"
 	"oleandertally/core/mailer"
 	"oleandertally/core/operator"
+	"oleandertally/core/recorder"
 	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
 	"oleandertally/core/supervisor"
@@ -32,6 +33,7 @@
 
 const (
 	mailboxSize = 8192
+	eventsKept  = 16384
 	closeBound  = time.Second
 )
 
@@ -51,6 +53,7 @@
 	Security       *authenticator.Authenticator
 	Metrics        *reporter.Controller
 	Health         *supervisor.Health // with Conditions
+	Events         *recorder.Buffer   // default one of its own
 	Log            zerolog.Logger
 
 	mailbox       *mailer.Mailbox[driver.Event]
@@ -97,6 +100,10 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
+	if c.Events == nil {
+		c.Events = &recorder.Buffer{Cap: eventsKept, Clock: time.Now}
+	}
+	c.Events.SetProcess(specifier.Identity{Name: c.Name, Incarnation: specifier.Incarnation(rand.Uint64())}.String())
 	c.mailbox = mailer.NewMailbox[driver.Event](mailboxSize)
 	c.registry = &registry{mailbox: c.mailbox, security: c.Security}
 	c.registry.last.Store(uint64(operatorStream))
@@ -143,6 +150,7 @@
 	server := dialer.NewGuardedServer(append(c.Security.ServerOptions(guard, c.MaxMessage), c.serverOptions...)...)
 	encoder.RegisterRegistryServer(server, c.registry)
 	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Identify: c.Security.CheckOperator})
+	encoder.RegisterTimelineServer(server, &operator.Timeline{Buffer: c.Events})
 	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security})
 
 	group, ctx := errgroup.WithContext(ctx)
@@ -246,6 +254,8 @@
 			break
 		}
 		c.registry.propose.put(control.Stream, &encoder.Verdict{Sequence: control.Sequence, Decision: encoder.EncodeDecision(control.Decision)})
+	case sequencer.Note:
+		c.Events.Add(control.Event)
 	case sequencer.Push:
 		c.registry.attend.put(control.Stream, control.Update)
 	}
--- a/core/configurator/reader_test.go
+++ b/core/configurator/reader_test.go
@@ -55,6 +55,7 @@
 		"controller.yaml":       func(t *testing.T, file string) { mustRead[ControllerSettings](t, file) },
 		"operator.yaml":         func(t *testing.T, file string) { mustRead[OperatorSettings](t, file) },
 		"alisio-profiles.yaml":  func(t *testing.T, file string) { mustRead[ProfileSettings](t, file) },
+		"local-profiles.yaml":   func(t *testing.T, file string) { mustRead[ProfileSettings](t, file) },
 		"eslabon-profiles.yaml": func(t *testing.T, file string) { mustRead[ProfileSettings](t, file) },
 	}
 	files, err := os.ReadDir(examples)
--- a/core/recorder/kind.go
+++ b/core/recorder/kind.go
@@ -19,7 +19,13 @@
 	TaskRefused  Kind = "TaskRefused"  // the agent did not start the task and will not
 	JobFenced    Kind = "JobFenced"    // the agent refuses lower epochs of the job from now on
 
-	MemberDraining Kind = "MemberDraining" // this process finishes what it has and takes nothing new
-	MemberResumed  Kind = "MemberResumed"  // this process takes work again
-	MemberDown     Kind = "MemberDown"     // this process learned that the run Other is recorded as down
+	MemberDraining       Kind = "MemberDraining"       // this process finishes what it has and takes nothing new
+	MemberResumed        Kind = "MemberResumed"        // this process takes work again
+	LeaderElected        Kind = "LeaderElected"        // this controller leads
+	LeaderLost           Kind = "LeaderLost"           // this controller no longer leads; Other is the leader that it knows
+	MemberJoined         Kind = "MemberJoined"         // the run Other is recorded as a member
+	DrainChanged         Kind = "DrainChanged"         // an operator drains or resumes the member Other
+	ConfigurationChanged Kind = "ConfigurationChanged" // a revision is in force
+
+	MemberDown Kind = "MemberDown" // this process learned that the run Other is recorded as down
 )
--- a/tally/environment.go
+++ b/tally/environment.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"io"
 	"os"
+	"os/user"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 type environment struct {
 	stdout, stderr io.Writer
 	getenv         func(string) string
+	userName       func() string // empty when it is not known
 	readFile       func(name string) ([]byte, error)
 	writeFile      func(name string, data []byte) error
 	clock          func() time.Time
@@ -24,6 +26,7 @@
 		stdout:    os.Stdout,
 		stderr:    os.Stderr,
 		getenv:    os.Getenv,
+		userName:  userName,
 		readFile:  readFile,
 		writeFile: func(name string, data []byte) error { return os.WriteFile(name, data, 0o644) },
 		clock:     time.Now,
@@ -45,6 +48,18 @@
 	return io.ReadAll(io.LimitReader(file, maxFile+1))
 }
 
+// userName returns $USER or, where that is not set, the name of the user that runs the command.
+func userName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/tally/fake_test.go
+++ b/tally/fake_test.go
@@ -170,8 +170,9 @@
 	ids := 0
 	return run(f.t.Context(), &environment{
 		stdout: &f.out, stderr: &f.err, clock: func() time.Time { return f.now },
+		userName: func() string { return "ana" },
 		getenv: func(name string) string {
-			return map[string]string{controllersVariable: f.addr.String(), "USER": "ana"}[name]
+			return map[string]string{controllersVariable: f.addr.String()}[name]
 		},
 		readFile: func(name string) ([]byte, error) {
 			text, ok := f.files[name]
--- a/tally/request.go
+++ b/tally/request.go
@@ -21,13 +21,13 @@
 // requestFlags is their part of a usage text.
 const requestFlags = `  -request ID        id of the request; give the printed one again to resend after a lost answer
   -operator NAME     who makes the change; default the name in the settings,
-                     without settings $USER
+                     without settings the name of the user
 `
 
 func (r *request) setFlags(f *flag.FlagSet) {
 	r.connection.setFlags(f)
 	f.StringVar(&r.id, "request", "", "")
-	f.StringVar(&r.operator, "operator", r.env.getenv("USER"), "")
+	f.StringVar(&r.operator, "operator", r.env.userName(), "")
 }
 
 // announce chooses the request's id and prints it before anything is sent, so that the operator
