Start the controller by the launcher that the other programs use

Cause: controller/run.go and core/launcher held the same start of a program. Change: the controller's own copy of arguments, exit codes and serving is gone; ParseArguments takes flags of a program's own.

--- a/controller/main.go
+++ b/controller/main.go
@@ -13,21 +13,10 @@
 	"fmt"
 	"os"
 
-	"github.com/cockroachdb/errors"
-
+	"oleandertally/core/launcher"
 	"oleandertally/core/supervisor"
 )
 
-const (
-	exitStopped = 0
-	exitFailed  = 1
-	exitNoStart = 2
-	exitCutOff  = 3
-)
-
-// errNoStart marks the errors of a controller that served nothing.
-var errNoStart = errors.New("the controller can't start")
-
 func main() {
 	signals, restore := supervisor.Signals()
 	defer restore()
@@ -35,18 +24,5 @@
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "controller:", err)
 	}
-	os.Exit(exitCode(err))
-}
-
-func exitCode(err error) int {
-	var cut *supervisor.CutOff
-	switch {
-	case err == nil:
-		return exitStopped
-	case errors.As(err, &cut):
-		return exitCutOff
-	case errors.Is(err, errNoStart):
-		return exitNoStart
-	}
-	return exitFailed
+	os.Exit(launcher.Exit(err))
 }
--- a/controller/run.go
+++ b/controller/run.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
+	"flag"
 	"io"
-	"net"
-	"net/http"
 	"os"
 	"time"
 
@@ -14,37 +13,39 @@
 	"oleandertally/controller/server"
 	"oleandertally/core/authenticator"
 	"oleandertally/core/configurator"
+	"oleandertally/core/launcher"
 	"oleandertally/core/reporter"
 	"oleandertally/core/specifier"
 	"oleandertally/core/supervisor"
 )
 
-const (
-	// faultEvery bounds how often an equal fault is logged.
-	faultEvery = time.Minute
-	// headerTimeout bounds how long a connection for metrics may wait to send its request.
-	headerTimeout = 5 * time.Second
-)
+// faultEvery bounds how often an equal fault is logged.
+const faultEvery = time.Minute
 
 // run returns after a shutdown. The log goes to out.
 func run(ctx context.Context, list []string, signals <-chan os.Signal, out io.Writer) error {
-	parsed, err := parseArguments(list, out)
+	bootstrap := false
+	parsed, err := launcher.ParseArguments("controller", list, out, func(flags *flag.FlagSet) {
+		flags.BoolVar(&bootstrap, "bootstrap", false, "begin a new site; only for its first controller, on a new data folder")
+	})
 	if err != nil {
-		return errors.Mark(err, errNoStart)
+		return err
 	}
-	settings, err := parsed.read()
+	settings, err := launcher.Read(parsed, configurator.Read[configurator.ControllerSettings], (*configurator.DeploymentSettings).Controller)
 	if err != nil {
-		return errors.Mark(err, errNoStart)
+		return err
 	}
 	log, err := supervisor.NewLogger(out, settings.LogLevel, settings.Name, specifier.Controller)
 	if err != nil {
-		return errors.Mark(err, errNoStart)
+		return errors.Mark(err, launcher.ErrSettings)
 	}
-	controller, err := newController(settings, parsed.bootstrap, log)
+	controller, err := newController(settings, bootstrap, log)
 	if err != nil {
-		return errors.Mark(err, errNoStart)
+		return errors.Mark(err, launcher.ErrSettings)
 	}
-	return serve(ctx, settings, controller, signals)
+	launched := &launcher.Launcher{Process: settings.ProcessSettings, Program: controller, Health: controller.Health,
+		Metrics: controller.MetricsHandler(), Log: log, Signals: signals}
+	return launched.Run(ctx)
 }
 
 func newController(settings configurator.ControllerSettings, bootstrap bool, log zerolog.Logger) (*server.Controller, error) {
@@ -60,24 +61,3 @@
 	controller.Health.Probe = controller.Probe
 	return controller, nil
 }
-
-// serve opens everything before it serves anything, so that a fault ends the process at its start.
-func serve(ctx context.Context, settings configurator.ControllerSettings, controller *server.Controller, signals <-chan os.Signal) error {
-	metrics, err := net.Listen("tcp", settings.MetricsAddr.String())
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "listen on MetricsAddr"), errNoStart)
-	}
-	if err := controller.Open(); err != nil {
-		metrics.Close()
-		return errors.Mark(err, errNoStart)
-	}
-	routes := http.NewServeMux()
-	controller.Health.Register(routes)
-	routes.Handle("GET /metrics", controller.MetricsHandler())
-	group := supervisor.NewGroup(context.WithoutCancel(ctx))
-	group.Go("Metrics", supervisor.Serve(&http.Server{Handler: routes, ReadHeaderTimeout: headerTimeout}, metrics))
-	group.Go("Controller", controller.Run)
-	running := &supervisor.Supervisor{Log: controller.Log, Health: controller.Health, Group: group, Steps: controller.Steps(),
-		StopWithin: settings.StopWithin, Signals: signals}
-	return running.Run(ctx)
-}
--- a/core/launcher/arguments.go
+++ b/core/launcher/arguments.go
@@ -15,19 +15,23 @@
 	Name     string // of the process, when the file is that of a deployment
 }
 
-// ParseArguments reads the arguments after the program's name. It writes the usage to out.
-func ParseArguments(program string, arguments []string, out io.Writer) (Arguments, error) {
+// ParseArguments reads the arguments after the program's name. It writes the usage to out. More defines
+// flags of the program's own.
+func ParseArguments(program string, arguments []string, out io.Writer, more ...func(*flag.FlagSet)) (Arguments, error) {
 	var parsed Arguments
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	flags.SetOutput(out)
 	flags.StringVar(&parsed.Settings, "settings", "", "settings `file` of this process, or of a deployment with -name")
 	flags.StringVar(&parsed.Name, "name", "", "`name` of this process in the settings of a deployment")
+	for _, define := range more {
+		define(flags)
+	}
 	if err := flags.Parse(arguments); err != nil {
 		return parsed, errors.Mark(err, ErrSettings)
 	}
 	if parsed.Settings == "" || flags.NArg() > 0 {
 		flags.Usage()
-		return parsed, errors.Mark(errors.New("expected -settings FILE and no other argument than -name"), ErrSettings)
+		return parsed, errors.Mark(errors.New("expected -settings FILE and no argument that is not a flag"), ErrSettings)
 	}
 	return parsed, nil
 }
