Keep start-once records without a map for each job

Cause: at the expected size an agent holds 25,300 records, most the only one of their job; a map for each job and the fields of a running task took most of the memory. Change: a job's records are a list; what only a running task needs is dropped when it ends.

--- a/agent/executor/assignment.go
+++ b/agent/executor/assignment.go
@@ -18,7 +18,7 @@
 			x.refuse(e, Superseded)
 			return
 		}
-		if known := job.tasks[e.Key.Task]; known != nil {
+		if known := job.find(e.Key.Task); known != nil {
 			x.repeated(job, known, e)
 			return
 		}
@@ -28,19 +28,19 @@
 		return
 	}
 	job = x.hold(e.Key.Job, e.Epoch, e.Entry, e.Deadline)
-	task := &record{key: e.Key, epoch: e.Epoch, state: specifier.TaskQueued, payload: e.Payload,
-		profile: e.Profile, deadline: e.Deadline, queued: now}
-	job.tasks[e.Key.Task] = task
+	task := &record{task: e.Key.Task, epoch: e.Epoch, state: specifier.TaskQueued,
+		attempt: &attempt{payload: e.Payload, profile: e.Profile, deadline: e.Deadline, queued: now}}
+	job.tasks = append(job.tasks, task)
 	x.queue.Push(now, orderer.Entry{Key: orderer.Key{At: e.Order, Job: e.Key.Job, Task: e.Key.Task}, Deadline: e.Deadline,
 		Class: x.learned.Class(e.Profile, x.profiles[e.Profile].TypicalTime), Profile: e.Profile})
-	x.note(recorder.TaskQueued, task, e.Entry.Name, "")
+	x.note(recorder.TaskQueued, e.Key.Job, task, e.Entry.Name, "")
 }
 
 // repeated handles a task that is held already: it is never started again.
 func (x *Executor) repeated(job *holding, known *record, e Assigned) {
 	job.owner, job.epoch, known.epoch = e.Entry, e.Epoch, e.Epoch
 	if known.state == specifier.TaskEnded || known.state == specifier.TaskBroken {
-		x.tell(job, known)
+		x.tell(e.Key.Job, job, known)
 	}
 }
 
@@ -74,7 +74,7 @@
 // refuse answers an assignment that is not taken. It is recorded unless the agent holds the task, which it
 // then may have started.
 func (x *Executor) refuse(e Assigned, cause Cause) {
-	if job := x.jobs[e.Key.Job]; job == nil || job.tasks[e.Key.Task] == nil {
+	if job := x.jobs[e.Key.Job]; job == nil || job.find(e.Key.Task) == nil {
 		x.out = append(x.out, Note{recorder.Event{Kind: recorder.TaskRefused, Job: e.Key.Job, Task: e.Key.Task, Epoch: e.Epoch,
 			Other: e.Entry.Name, Detail: string(cause)}})
 	}
--- a/agent/executor/fencing.go
+++ b/agent/executor/fencing.go
@@ -24,7 +24,7 @@
 func (x *Executor) hold(id specifier.JobID, epoch specifier.Epoch, owner specifier.Identity, deadline time.Time) *holding {
 	job := x.jobs[id]
 	if job == nil {
-		job = &holding{tasks: make(map[string]*record)}
+		job = &holding{}
 		x.jobs[id] = job
 	}
 	job.owner, job.epoch = owner, epoch
@@ -38,6 +38,6 @@
 // dropSilently drops what has not started of a job whose owner has been replaced.
 func (x *Executor) dropSilently(id specifier.JobID) {
 	for _, entry := range x.queue.Remove(id) {
-		delete(x.jobs[id].tasks, entry.Key.Task)
+		x.jobs[id].remove(entry.Key.Task)
 	}
 }
--- a/agent/executor/record.go
+++ b/agent/executor/record.go
@@ -8,16 +8,12 @@
 
 // record is the start-once record of one task.
 type record struct {
-	key      specifier.TaskKey
-	epoch    specifier.Epoch
-	state    specifier.TaskState
-	payload  []byte // until started
-	profile  string
-	deadline time.Time
-	queued   time.Time
-	started  time.Time
-	body     []byte
-	detail   string
-	runTime  time.Duration
-	waited   time.Duration
+	task    string
+	epoch   specifier.Epoch
+	state   specifier.TaskState
+	attempt *attempt // nil once the task has ended
+	body    []byte
+	detail  string
+	runTime time.Duration
+	waited  time.Duration
 }
--- a/agent/executor/running.go
+++ b/agent/executor/running.go
@@ -13,14 +13,14 @@
 	if job == nil {
 		return
 	}
-	task := job.tasks[e.Key.Task]
+	task := job.find(e.Key.Task)
 	if task == nil || task.state != specifier.TaskRunning {
 		return
 	}
 	if e.NotStarted {
-		delete(job.tasks, e.Key.Task)
+		job.remove(e.Key.Task)
 		x.out = append(x.out, Refused{Entry: job.owner, Key: e.Key, Epoch: job.epoch, Cause: NoUpstream, Load: x.Load()})
-		x.note(recorder.TaskRefused, task, job.owner.Name, string(NoUpstream))
+		x.note(recorder.TaskRefused, e.Key.Job, task, job.owner.Name, string(NoUpstream))
 		x.upstreamDown()
 		return
 	}
@@ -28,15 +28,16 @@
 	if e.Broken {
 		task.state = specifier.TaskBroken
 	}
-	task.body, task.detail, task.runTime = e.Body, e.Detail, now.Sub(task.started)
+	task.body, task.detail, task.runTime = e.Body, e.Detail, now.Sub(task.attempt.started)
 	x.held += len(e.Body)
 	if !e.Broken {
-		x.learned.Record(task.profile, task.runTime)
+		x.learned.Record(task.attempt.profile, task.runTime)
 	}
-	x.note(recorder.TaskEnded, task, job.owner.Name, e.Detail)
+	task.attempt = nil
+	x.note(recorder.TaskEnded, e.Key.Job, task, job.owner.Name, e.Detail)
 	x.reports.Ended()
 	x.start(now) // first, so that the load in the answer counts what now runs in the free slot
-	x.tell(job, task)
+	x.tell(e.Key.Job, job, task)
 }
 
 // start runs queued tasks in the free slots.
@@ -50,16 +51,16 @@
 	}
 	for _, entry := range x.queue.Start(now) {
 		job := x.jobs[entry.Key.Job]
-		task := job.tasks[entry.Key.Task]
-		task.state, task.started, task.waited = specifier.TaskRunning, now, now.Sub(task.queued)
-		x.note(recorder.TaskStarted, task, job.owner.Name, "")
-		x.out = append(x.out, Run{Addr: x.upstream, Key: task.key, Epoch: task.epoch, Payload: task.payload, Deadline: task.deadline})
-		task.payload = nil
+		task := job.find(entry.Key.Task)
+		task.state, task.attempt.started, task.waited = specifier.TaskRunning, now, now.Sub(task.attempt.queued)
+		x.note(recorder.TaskStarted, entry.Key.Job, task, job.owner.Name, "")
+		x.out = append(x.out, Run{Addr: x.upstream, Key: entry.TaskKey(), Epoch: task.epoch, Payload: task.attempt.payload, Deadline: task.attempt.deadline})
+		task.attempt.payload = nil
 	}
 }
 
-func (x *Executor) tell(job *holding, task *record) {
-	x.out = append(x.out, Done{Entry: job.owner, Key: task.key, Epoch: job.epoch, Broken: task.state == specifier.TaskBroken,
+func (x *Executor) tell(id specifier.JobID, job *holding, task *record) {
+	x.out = append(x.out, Done{Entry: job.owner, Key: specifier.TaskKey{Job: id, Task: task.task}, Epoch: job.epoch, Broken: task.state == specifier.TaskBroken,
 		Body: task.body, Detail: task.detail, RunTime: task.runTime, Waited: task.waited, Load: x.Load()})
 }
 
--- a/agent/executor/upstream.go
+++ b/agent/executor/upstream.go
@@ -45,8 +45,8 @@
 // dropTask refuses a task that the queue no longer holds.
 func (x *Executor) dropTask(key specifier.TaskKey, cause Cause) {
 	job := x.jobs[key.Job]
-	task := job.tasks[key.Task]
-	delete(job.tasks, key.Task)
+	task := job.find(key.Task)
+	job.remove(key.Task)
 	x.out = append(x.out, Refused{Entry: job.owner, Key: key, Epoch: job.epoch, Cause: cause, Load: x.Load()})
-	x.note(recorder.TaskRefused, task, job.owner.Name, string(cause))
+	x.note(recorder.TaskRefused, key.Job, task, job.owner.Name, string(cause))
 }
