Answer a failure after a doubtful takeover as undecided, and enforce two fields of profiles

MaxTimeLeft of a profile had no effect, and repeats of lost tasks were not bounded by the retry budget. Change: after a takeover with a lost worker every failure is OwnerLost; a longer deadline than the profile accepts is refused; Scheduler.Repeat plans repeats of lost tasks within the budget. Ruled out: recording Complete before it is answered: the result is lost with the worker either way.

--- /dev/null
+++ b/dispatch/scheduler/repeat.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import (
+	"time"
+
+	"oleandertally/dispatch/retrier"
+)
+
+// Repeat queues tasks whose worker is lost and that may run again, as far as the retry budget of their
+// profile allows. It reports false when one of them is not queued: its job can't be completed.
+func (e *Engine[P, T]) Repeat(now time.Time, items []Item) bool {
+	e.init()
+	for _, item := range items {
+		attempt := retrier.Attempt{Profile: item.Profile, Repeatable: true, Cause: retrier.Lost, Count: 1, Deadline: item.Deadline}
+		at, ok := e.retrier.Plan(now, attempt)
+		if !ok {
+			return false
+		}
+		job := e.job(item.Key.Job, e.pool(item.Service))
+		job.team = item.Team
+		job.delayed++
+		next := e.allocate()
+		*next = task{item: item, job: job, attempts: 1}
+		e.delayed.Push(delayed{at: at, task: next})
+	}
+	return true
+}
--- a/entry/coordinator/collection.go
+++ b/entry/coordinator/collection.go
@@ -104,11 +104,13 @@
 		delete(c.jobs, job.spec.ID)
 	case job.left == 0:
 		c.run(now, job)
-	case job.unknown && !job.profile.Repeatable && c.missing(job):
+	case job.unknown && c.missing(job) && (job.cancel || !job.profile.Repeatable):
+		// The former owner may have had every result and answered.
 		c.fail(now, job, specifier.OwnerLost, "the entry that ran the job was lost, and so was a worker that may have run a task")
 	case job.cancel:
 		c.fail(now, job, specifier.Cancelled, "the caller cancelled the job")
 	default:
+		job.doubtful = job.unknown
 		c.run(now, job)
 	}
 }
--- a/entry/coordinator/path_test.go
+++ b/entry/coordinator/path_test.go
@@ -217,6 +217,65 @@
 	})
 }
 
+// Guards against an answer that contradicts what the former owner answered and could not record: it may
+// have completed the job before a cancellation (found by seed 28024).
+func TestCancelAfterLostOwner(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	job := newJob(2, 1) // repeatable
+	former, heir := w.entries[0], w.entries[1]
+	w.submit(former, job)
+	w.decideAll(former)
+	w.pump()
+	w.endAll()
+	w.pump() // answered as Complete; the record of it is not decided
+	w.killEntry(former)
+	w.end(former.id)
+	w.publish()
+	waiter := w.submit(heir, job)
+	w.decide(heir, false) // attached to an owner that is down
+	w.killAgent(w.agents[0])
+	w.decide(heir, false) // takes over, and asks an agent that is lost
+	w.cancel(heir, job.ID)
+	w.settle()
+	mustOutcome(t, w, waiter, specifier.Failed, specifier.OwnerLost)
+	w.mustHold()
+}
+
+// Guards against a deadline that the profile does not accept.
+func TestProfileBoundsTheTimeLeft(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.apply(specifier.ChangeConfiguration{RequestID: "bound", Operator: "test", From: 1,
+		Profiles: []specifier.Profile{{Name: "hold", Service: "s", MaxTimeLeft: 5 * time.Second}}})
+	w.publish()
+	waiter := w.submit(w.entries[0], newJob(0, 1)) // has 6 s
+	w.settle()
+	mustOutcome(t, w, waiter, specifier.NotRun, specifier.Invalid)
+}
+
+// Guards against a loss of workers that multiplies the load: repeats end with the retry budget.
+func TestRepeatsEndWithTheBudget(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	failed := 0
+	for i := range 20 {
+		job := newJob(2+3*i, 2) // repeatable
+		waiter := w.submit(w.entries[0], job)
+		w.decideAll(w.entries[0])
+		w.pump()
+		victim := w.agents[i%2]
+		for len(victim.running) == 0 {
+			victim = w.agents[(i+1)%2]
+		}
+		w.killAgent(victim)
+		w.settle()
+		must.Len(t, 1, w.replies[waiter])
+		if w.replies[waiter][0].Reason == specifier.WorkerLost {
+			failed++
+		}
+	}
+	must.Positive(t, failed) // 11 repeats at once, and one for each ten first attempts
+	w.mustHold()
+}
+
 // Guards against a cancellation that is lost, or that lets a late submission run.
 func TestCancel(t *testing.T) {
 	t.Run("before it is submitted", func(t *testing.T) {
--- a/entry/coordinator/submission.go
+++ b/entry/coordinator/submission.go
@@ -73,6 +73,9 @@
 		return refuse(specifier.UnknownProfile, fmt.Sprintf("Profile: no profile %q at revision %d", job.spec.Profile, c.configuration.Revision))
 	}
 	job.profile = profile
+	if left := job.spec.Deadline.Sub(job.arrival); profile.MaxTimeLeft > 0 && left > profile.MaxTimeLeft {
+		return refuse(specifier.Invalid, fmt.Sprintf("TimeLeft: is %v, profile %q accepts at most %v", left, profile.Name, profile.MaxTimeLeft))
+	}
 	if refusal := c.Scheduler.Admit(now, job.spec, profile); refusal != nil {
 		answer := specifier.Refuse(refusal.Reason, refusal.Detail)
 		answer.RetryAfter = refusal.RetryAfter
