--- a/entry/coordinator/job.go
+++ b/entry/coordinator/job.go
@@ -26,6 +26,7 @@
 	index    map[string]int // task id to slot
 	slots    []slot
 	left     int                 // slots not done
+	doubtful bool                // a former owner may have completed the job and answered
 	unknown  bool                // an agent left whose record can't be had
 	finished *specifier.Decision // set while the owner of a finished job is asked for its answer
 	fetched  bool                // finished as Complete earlier; only the results are collected
--- a/entry/coordinator/run.go
+++ b/entry/coordinator/run.go
@@ -54,6 +54,8 @@
 	job.recordBy = now.Add(recordBound)
 	c.wakeAt(job, job.recordBy)
 	switch {
+	case job.doubtful:
+		job.answer = specifier.Fail(specifier.OwnerLost, "a former owner may have completed the job; the repeat failed: "+string(reason)+": "+detail, true)
 	case job.touched() || collecting:
 		job.answer = specifier.Fail(reason, detail, true)
 	case reason == specifier.Cancelled:
