--- a/core/operator/call.go
+++ b/core/operator/call.go
@@ -17,7 +17,7 @@
 func call[T any](ctx context.Context, c *Client, addr netip.AddrPort, do func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Attempt)
 	defer cancel()
-	options := []grpc.DialOption{grpc.WithNoProxy(), grpc.WithTransportCredentials(c.Credentials),
+	options := []grpc.DialOption{grpc.WithNoProxy(), grpc.WithTransportCredentials(c.credentialsFor(addr)),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply))}
 	if c.PerRPC != nil {
 		options = append(options, grpc.WithPerRPCCredentials(c.PerRPC))
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -19,12 +19,33 @@
 type Client struct {
 	Controllers []netip.AddrPort
 	Credentials credentials.TransportCredentials
-	PerRPC      credentials.PerRPCCredentials                    // sent with each call; nil when there is none
-	Attempt     time.Duration                                    // limit of one call
-	Rounds      int                                              // times that every controller is tried
-	Between     time.Duration                                    // from one round to the next: an election can be under way
-	Pause       func(ctx context.Context, d time.Duration) error // waits, or returns the context's error
-	Clock       func() time.Time
+	// RoleCredentials returns the credentials for a process of another role than Controller, which has
+	// another certificate; nil when Credentials serve for all.
+	RoleCredentials func(specifier.Role) credentials.TransportCredentials
+	PerRPC          credentials.PerRPCCredentials                    // sent with each call; nil when there is none
+	Attempt         time.Duration                                    // limit of one call
+	Rounds          int                                              // times that every controller is tried
+	Between         time.Duration                                    // from one round to the next: an election can be under way
+	Pause           func(ctx context.Context, d time.Duration) error // waits, or returns the context's error
+	Clock           func() time.Time
+
+	roles map[netip.AddrPort]specifier.Role // of addresses that are not controllers'
+}
+
+// SetMembers tells the client the roles of the members' addresses. It must not run during a call.
+func (c *Client) SetMembers(members []specifier.Member) {
+	c.roles = make(map[netip.AddrPort]specifier.Role, len(members))
+	for _, member := range members {
+		c.roles[member.Addr] = member.Role
+	}
+}
+
+// credentialsFor returns the credentials for the process at addr.
+func (c *Client) credentialsFor(addr netip.AddrPort) credentials.TransportCredentials {
+	if role, ok := c.roles[addr]; ok && c.RoleCredentials != nil {
+		return c.RoleCredentials(role)
+	}
+	return c.Credentials
 }
 
 // Read returns the state with the configuration at revision; 0 is the one in force. It returns
--- a/tally/connection.go
+++ b/tally/connection.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"oleandertally/core/authenticator"
@@ -95,6 +96,9 @@
 	c.name = settings.Name
 	client.Attempt = min(client.Attempt, settings.Timeout)
 	client.Credentials, client.PerRPC = security.ClientCredentials(specifier.Controller, ""), token
+	client.RoleCredentials = func(role specifier.Role) credentials.TransportCredentials {
+		return security.ClientCredentials(role, "")
+	}
 	return nil
 }
 
--- a/tally/timeline.go
+++ b/tally/timeline.go
@@ -140,6 +140,7 @@
 	if err != nil {
 		fmt.Fprintf(c.env.stderr, "members are unknown, asking %d addresses only: %v\n", len(addrs), err)
 	}
+	client.SetMembers(state.Members)
 	for _, member := range state.Members {
 		if member.State != specifier.Down {
 			addrs = append(addrs, member.Addr)
