Use plain names for the agent's release and for the recorded sessions

Cause: Farewell and rehearser are figurative. Change: RequestRelease, transcriber; one comparison of identities less. Conclusion: the same tests pass.

--- a/agent/executor/departure.go
+++ b/agent/executor/departure.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"oleandertally/core/specifier"
 )
@@ -45,8 +44,8 @@
 		x.departure.awaits = make(map[specifier.Identity]bool)
 		maps.Copy(x.departure.awaits, x.departure.broken)
 		x.out = append(x.out, Ended{})
-		for _, entry := range slices.SortedFunc(maps.Keys(x.links), compareNames) {
-			x.farewell(entry)
+		for _, entry := range slices.SortedFunc(maps.Keys(x.links), specifier.Identity.Compare) {
+			x.requestRelease(entry)
 		}
 	}
 	if len(x.departure.awaits) == 0 && !x.departure.left {
@@ -55,12 +54,12 @@
 	}
 }
 
-// farewell asks an entry for its release, also on a new stream, since the answer to the last one may be
+// requestRelease asks an entry for its release, also on a new stream, since the answer to the last one may be
 // lost. An entry whose stream is broken stays awaited: it asks for its results when it comes back.
-func (x *Executor) farewell(entry specifier.Identity) {
+func (x *Executor) requestRelease(entry specifier.Identity) {
 	if x.departure.ended {
 		x.departure.awaits[entry] = true
-		x.out = append(x.out, Farewell{Entry: entry, Load: x.Load()})
+		x.out = append(x.out, RequestRelease{Entry: entry, Load: x.Load()})
 	}
 }
 
@@ -69,5 +68,3 @@
 		delete(x.departure.awaits, e.Entry)
 	}
 }
-
-func compareNames(a, b specifier.Identity) int { return strings.Compare(a.String(), b.String()) }
--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -57,7 +57,7 @@
 		x.reports.Add(now, event.Entry, x.Load())
 		x.departure.linked(event.Entry)
 		x.out = append(x.out, Greet{Entry: event.Entry, Load: x.Load()})
-		x.farewell(event.Entry)
+		x.requestRelease(event.Entry)
 	case Unlinked:
 		if x.links[event.Entry] == event.Link {
 			delete(x.links, event.Entry)
--- a/agent/executor/released.go
+++ b/agent/executor/released.go
@@ -2,7 +2,7 @@
 
 import "oleandertally/core/specifier"
 
-// Released is an entry's answer to Farewell: it counts on nothing more from this agent.
+// Released is an entry's answer to RequestRelease: it counts on nothing more from this agent.
 type Released struct {
 	Entry specifier.Identity
 	Link  uint64
--- a/agent/listener/messages.go
+++ b/agent/listener/messages.go
@@ -92,8 +92,8 @@
 	return &encoder.AgentMessage{Reports: []*encoder.Report{report}, Load: EncodeLoad(r.Load)}
 }
 
-// EncodeFarewell copies every field.
-func EncodeFarewell(f executor.Farewell) *encoder.AgentMessage {
+// EncodeRequestRelease copies every field.
+func EncodeRequestRelease(f executor.RequestRelease) *encoder.AgentMessage {
 	return &encoder.AgentMessage{Leaving: true, Load: EncodeLoad(f.Load)}
 }
 
--- a/agent/runner/agent.go
+++ b/agent/runner/agent.go
@@ -240,8 +240,8 @@
 		} else {
 			a.Health.Miss(conditionUpstream, "takes no work")
 		}
-	case executor.Farewell:
-		a.links.Put(action.Entry, listener.EncodeFarewell(action))
+	case executor.RequestRelease:
+		a.links.Put(action.Entry, listener.EncodeRequestRelease(action))
 	case executor.Ended:
 		close(a.ended)
 	case executor.Left:
--- a/entry/coordinator/path_test.go
+++ b/entry/coordinator/path_test.go
@@ -97,14 +97,14 @@
 	w.killEntry(w.entries[0])
 	w.end(w.entries[0].id)
 	w.publish()
-	heir := w.entries[1]
-	w.submit(heir, job)
-	w.decide(heir, false) // attached to an owner that is down
-	w.decide(heir, true)  // the decision on the takeover is lost
+	successor := w.entries[1]
+	w.submit(successor, job)
+	w.decide(successor, false) // attached to an owner that is down
+	w.decide(successor, true)  // the decision on the takeover is lost
 	for range 60 {
 		w.tick(100 * time.Millisecond) // the caller is answered, the job is dropped here
 	}
-	w.submit(heir, job)
+	w.submit(successor, job)
 	w.asked = nil
 	w.settle()
 	mustStart(t, w, job, 2)
@@ -115,7 +115,7 @@
 // joined since was not fenced by the entry that took the job over.
 func TestExpelledEntryStopsDispatching(t *testing.T) {
 	w := newWorld(t, 2, 1)
-	former, heir := w.entries[0], w.entries[1]
+	former, successor := w.entries[0], w.entries[1]
 	job := newJob(0, 8)
 	w.submit(former, job)
 	w.decideAll(former)
@@ -123,8 +123,8 @@
 	former.cut = true
 	w.end(former.id)
 	w.publish()
-	w.submit(heir, job)
-	w.decideAll(heir)
+	w.submit(successor, job)
+	w.decideAll(successor)
 	w.pump()
 	w.agents = append(w.agents, &agentNode{})
 	w.startAgent(1)
@@ -222,7 +222,7 @@
 func TestCancelAfterLostOwner(t *testing.T) {
 	w := newWorld(t, 2, 1)
 	job := newJob(2, 1) // repeatable
-	former, heir := w.entries[0], w.entries[1]
+	former, successor := w.entries[0], w.entries[1]
 	w.submit(former, job)
 	w.decideAll(former)
 	w.pump()
@@ -231,11 +231,11 @@
 	w.killEntry(former)
 	w.end(former.id)
 	w.publish()
-	waiter := w.submit(heir, job)
-	w.decide(heir, false) // attached to an owner that is down
+	waiter := w.submit(successor, job)
+	w.decide(successor, false) // attached to an owner that is down
 	w.killAgent(w.agents[0])
-	w.decide(heir, false) // takes over, and asks an agent that is lost
-	w.cancel(heir, job.ID)
+	w.decide(successor, false) // takes over, and asks an agent that is lost
+	w.cancel(successor, job.ID)
 	w.settle()
 	mustOutcome(t, w, waiter, specifier.Failed, specifier.OwnerLost)
 	w.mustHold()
--- a/entry/coordinator/world_test.go
+++ b/entry/coordinator/world_test.go
@@ -300,7 +300,7 @@
 			w.toEntry(a, action.Entry, coordinator.Reported{Agent: a.id, Job: action.Job, Epoch: action.Epoch, Tasks: action.Tasks, Mark: action.Mark})
 		case executor.Greet:
 			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
-		case executor.Farewell:
+		case executor.RequestRelease:
 			w.toEntry(a, action.Entry, coordinator.Loaded{Agent: a.id, Load: action.Load})
 			w.toEntry(a, action.Entry, coordinator.AgentLeaving{Agent: a.id})
 		case executor.Left:
--- a/local/rehearser/golden_test.go
+++ b/local/transcriber/golden_test.go
@@ -1,4 +1,4 @@
-package rehearser_test
+package transcriber_test
 
 import (
 	"flag"
@@ -12,31 +12,31 @@
 
 	"oleandertally/core/specifier"
 	"oleandertally/core/verifier"
-	"oleandertally/local/rehearser"
+	"oleandertally/local/transcriber"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
 const ms = time.Millisecond
 
-func alisio() rehearser.Site {
-	return rehearser.Site{Service: "reservas", Zones: []string{"alajuela", "heredia", "cartago"}, Workers: 3, Slots: 2,
+func alisio() transcriber.Site {
+	return transcriber.Site{Service: "reservas", Zones: []string{"alajuela", "heredia", "cartago"}, Workers: 3, Slots: 2,
 		Hop: 1500 * time.Microsecond, Commit: 6 * ms, Lease: 3 * time.Second,
 		Profiles: []specifier.Profile{{Name: "hold", Service: "reservas"}, {Name: "quote", Service: "reservas", Repeatable: true}}}
 }
 
-func eslabon() rehearser.Site {
-	return rehearser.Site{Service: "cotizador", Zones: []string{"andina-bog", "andina-med", "andina-cali"}, Workers: 3, Slots: 2,
+func eslabon() transcriber.Site {
+	return transcriber.Site{Service: "cotizador", Zones: []string{"andina-bog", "andina-med", "andina-cali"}, Workers: 3, Slots: 2,
 		Hop: time.Millisecond, Commit: 5 * ms, Lease: 3 * time.Second,
 		Profiles: []specifier.Profile{{Name: "quote", Service: "cotizador", Repeatable: true}, {Name: "cut-plan", Service: "cotizador"}}}
 }
 
 // mustMatch checks that a session ends without work, keeps every promise, and gives the recorded
 // transcript, byte for byte, on a first and on a second run.
-func mustMatch(t *testing.T, site rehearser.Site, script func(*rehearser.Session)) {
+func mustMatch(t *testing.T, site transcriber.Site, script func(*transcriber.Session)) {
 	t.Helper()
 	run := func() string {
-		s := rehearser.New(site)
+		s := transcriber.New(site)
 		script(s)
 		s.Advance(20 * time.Second)
 		must.True(t, s.Idle(), must.Sprint("work is left at the end"))
@@ -60,7 +60,7 @@
 // Guards against a change of what callers, operators and the time line see in whole sessions.
 func TestSessions(t *testing.T) {
 	t.Run("alisio-day", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			s.Submit("ana", 0, "hold-seat-12", "hold", 5*time.Second, 200*ms)
 			s.Advance(40 * ms)
 			s.Submit("beto", 1, "quote-trip-7", "quote", 5*time.Second, 120*ms, 300*ms, 80*ms)
@@ -73,7 +73,7 @@
 		})
 	})
 	t.Run("eslabon-day", func(t *testing.T) {
-		mustMatch(t, eslabon(), func(s *rehearser.Session) {
+		mustMatch(t, eslabon(), func(s *transcriber.Session) {
 			s.Submit("plan", 0, "cut-plan-1", "cut-plan", 20*time.Second, 4*time.Second, 3*time.Second, 3*time.Second)
 			s.Advance(500 * ms)
 			for i := range 4 {
@@ -83,7 +83,7 @@
 		})
 	})
 	t.Run("burst", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			for i := range 18 {
 				s.Submit(fmt.Sprintf("caller-%02d", i+1), i%3, fmt.Sprintf("hold-%d", i+1), "hold", 1500*ms, 250*ms, 250*ms)
 			}
@@ -92,7 +92,7 @@
 		})
 	})
 	t.Run("doubled-hold", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			s.Submit("ana", 0, "hold-seat-12", "hold", 5*time.Second, 400*ms)
 			s.Submit("ana again", 1, "hold-seat-12", "hold", 5*time.Second, 400*ms)
 			s.Advance(200 * ms)
@@ -103,7 +103,7 @@
 		})
 	})
 	t.Run("lost-cut-plan", func(t *testing.T) {
-		mustMatch(t, eslabon(), func(s *rehearser.Session) {
+		mustMatch(t, eslabon(), func(s *transcriber.Session) {
 			s.Submit("plan", 0, "cut-plan-1", "cut-plan", 20*time.Second, 2*time.Second, 900*ms, 900*ms, 2*time.Second, 900*ms, 900*ms, 900*ms, 900*ms)
 			s.Advance(1200 * ms)
 			s.KillEntry(0)
@@ -112,7 +112,7 @@
 		})
 	})
 	t.Run("rolling-restart", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			for i := range 3 {
 				s.Submit(fmt.Sprintf("before-%d", i+1), i, fmt.Sprintf("hold-%d", i+1), "hold", 8*time.Second, 700*ms, 200*ms)
 				s.Advance(20 * ms)
@@ -135,7 +135,7 @@
 		})
 	})
 	t.Run("operators-race", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			olga := change("olga", "olga-1", 1, specifier.Profile{Name: "hold", Service: "reservas", Priority: 3})
 			pablo := change("pablo", "pablo-1", 1, specifier.Profile{Name: "hold", Service: "reservas", Priority: 5})
 			s.Configure(olga)
@@ -151,7 +151,7 @@
 		})
 	})
 	t.Run("lost-zone", func(t *testing.T) {
-		mustMatch(t, alisio(), func(s *rehearser.Session) {
+		mustMatch(t, alisio(), func(s *transcriber.Session) {
 			s.Submit("ana", 0, "hold-wide", "hold", 12*time.Second, 800*ms, 800*ms, 800*ms, 800*ms, 800*ms, 800*ms)
 			s.Submit("beto", 1, "quote-wide", "quote", 12*time.Second, 500*ms, 500*ms, 500*ms, 500*ms)
 			s.Submit("carla", 1, "hold-narrow", "hold", 12*time.Second, 300*ms)
--- a/local/rehearser/session.go
+++ b/local/transcriber/session.go
@@ -1,4 +1,4 @@
-package rehearser
+package transcriber
 
 import (
 	"fmt"
