--- a/controller/sequencer/sequencer.go
+++ b/controller/sequencer/sequencer.go
@@ -1,7 +1,6 @@
 package sequencer
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"oleandertally/core/collector"
-	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
 	"oleandertally/dispatch/limiter"
 	"oleandertally/state/registrar"
@@ -73,13 +71,6 @@
 	}
 }
 
-// Restored replaces the state by one from a snapshot.
-func (s *Sequencer) Restored(state *registrar.Registrar) {
-	s.Registrar = state
-	s.changes = nil
-	s.complete = state.MemberVersion()
-}
-
 // Step handles one event.
 func (s *Sequencer) Step(now time.Time, event Event) []Action {
 	s.out = nil
@@ -184,124 +175,3 @@
 	}
 	return size
 }
-
-func (s *Sequencer) rejected(e Rejected) {
-	for _, request := range s.submitted[e.Ticket] {
-		s.refuse(request, e.Verdict)
-	}
-	delete(s.submitted, e.Ticket)
-}
-
-func (s *Sequencer) refuse(r request, verdict specifier.Verdict) {
-	if end, ok := r.command.(specifier.EndMember); ok && r.stream == 0 {
-		delete(s.ending, end.Identity)
-		if until, ok := s.leases[end.Identity]; ok {
-			s.grant(end.Identity, until) // it is due again
-		}
-	}
-	if r.stream != 0 && r.sequence != 0 {
-		s.out = append(s.out, Decide{Stream: r.stream, Sequence: r.sequence,
-			Decision: specifier.Decision{Verdict: verdict, Leader: s.leader}})
-	}
-}
-
-func (s *Sequencer) committed(now time.Time, e Committed) {
-	revision := s.Registrar.Configuration().Revision
-	version := s.Registrar.MemberVersion()
-	decisions := s.Registrar.Apply(e.Index, e.Batch)
-	s.noteChanges(version, e.Batch)
-	for i, command := range e.Batch.Commands {
-		s.noteChange(command, decisions[i])
-	}
-	waiting, mine := s.logged[e.Index]
-	delete(s.logged, e.Index)
-	if mine && waiting.term == e.Term {
-		for i, request := range waiting.requests {
-			s.decided(now, request, decisions[i])
-		}
-	} else if mine {
-		for _, request := range waiting.requests {
-			s.refuse(request, specifier.NotLeader)
-		}
-	}
-	if s.leads && (s.Registrar.Configuration().Revision != revision || s.Registrar.MemberVersion() != version) {
-		s.pushAll()
-	}
-}
-
-// noteChanges remembers which members a batch may have changed.
-func (s *Sequencer) noteChanges(before uint64, batch specifier.Batch) {
-	if s.Registrar.MemberVersion() == before {
-		return
-	}
-	for _, command := range batch.Commands {
-		switch command := command.(type) {
-		case specifier.JoinMember:
-			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Member.Name})
-		case specifier.EndMember:
-			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Identity.Name})
-			delete(s.leases, command.Identity)
-			delete(s.ending, command.Identity)
-		case specifier.DrainMember:
-			s.changes = append(s.changes, change{version: s.Registrar.MemberVersion(), name: command.Name})
-		}
-	}
-	if extra := len(s.changes) - maxChanges; extra > 0 {
-		s.complete = s.changes[extra-1].version
-		s.changes = slices.Delete(s.changes, 0, extra)
-	}
-}
-
-func (s *Sequencer) decided(now time.Time, r request, d specifier.Decision) {
-	join, isJoin := r.command.(specifier.JoinMember)
-	switch {
-	case r.stream == 0:
-	case isJoin && r.sequence == 0:
-		s.joined(now, r.stream, join.Member, d)
-	default:
-		s.out = append(s.out, Decide{Stream: r.stream, Sequence: r.sequence, Decision: d})
-	}
-}
-
-func (s *Sequencer) led(now time.Time) {
-	s.note(recorder.LeaderElected, "", "")
-	s.leads = true
-	s.advanced = now
-	clear(s.leases)
-	clear(s.ending)
-	clear(s.lessors)
-	s.expiring.Filter(func(lease) bool { return false })
-	// The former leader's grants are not known here, so every member gets a full lease.
-	for _, member := range s.Registrar.Members() {
-		if member.State != specifier.Down {
-			s.grant(member.Identity, now.Add(s.Lease))
-		}
-	}
-}
-
-// followed answers everything that waits: its outcome is unknown or it had none, and the
-// sender asks the new leader, since every command may be repeated.
-func (s *Sequencer) followed(e Followed) {
-	if s.leads {
-		s.note(recorder.LeaderLost, leaderText(e.Leader), "")
-	}
-	s.leads = false
-	s.leader = e.Leader
-	for _, ticket := range slices.Sorted(maps.Keys(s.submitted)) {
-		s.rejected(Rejected{Ticket: ticket, Verdict: specifier.NotLeader})
-	}
-	for _, index := range slices.Sorted(maps.Keys(s.logged)) {
-		for _, request := range s.logged[index].requests {
-			s.refuse(request, specifier.NotLeader)
-		}
-	}
-	clear(s.logged)
-	for _, request := range s.waiting {
-		s.refuse(request, specifier.NotLeader)
-	}
-	s.waiting = nil
-	for _, stream := range slices.Sorted(maps.Keys(s.attending)) {
-		s.out = append(s.out, Push{Stream: stream, Update: specifier.Update{NotLeader: true, Leader: e.Leader}})
-	}
-	clear(s.attending)
-}
--- a/dispatch/retrier/retrier.go
+++ b/dispatch/retrier/retrier.go
@@ -11,15 +11,6 @@
 	budgets map[string]*Budget
 }
 
-// Attempt describes the task that would be sent again.
-type Attempt struct {
-	Profile    string
-	Repeatable bool
-	Cause      Cause
-	Count      int       // attempts so far
-	Deadline   time.Time // zero: none
-}
-
 const (
 	// firstDelay is longer than a round trip between zones, so that the agent's state has changed.
 	firstDelay = 10 * time.Millisecond
