Stop local -serve in order

Cause: Ctrl-C ended every role at once and cut off jobs in flight. Change: entries and agents stop by their steps, then the rest; a second signal ends at once.

--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -88,6 +88,21 @@
 	return s.group.Wait()
 }
 
+// Drain ends every entry and then every agent as a planned stop does, so that nothing in flight is cut
+// off. Stop ends the rest.
+func (s *Site) Drain(ctx context.Context) error {
+	for _, roles := range [][]*process{s.entries, s.agents} {
+		group, ctx := errgroup.WithContext(ctx)
+		for _, role := range roles {
+			group.Go(func() error { return role.stop(ctx) })
+		}
+		if err := group.Wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // KillEntry ends an entry at once.
 func (s *Site) KillEntry(i int) { s.entries[i].kill() }
 
--- a/local/main.go
+++ b/local/main.go
@@ -33,6 +33,7 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the program at once
 	run := command.run
 	if *measures {
 		run = measure.run
--- a/local/replaycommand.go
+++ b/local/replaycommand.go
@@ -19,6 +19,9 @@
 	"oleandertally/replay/tracer"
 )
 
+// stopBound is how long a stop waits for jobs in flight.
+const stopBound = 30 * time.Second
+
 // roundTrip is from a caller to an entry and back; on loopback it is all but nothing.
 const roundTrip = time.Millisecond
 
@@ -64,13 +67,15 @@
 		defer claim.Release()
 		site.Layout = claim.Layout
 	}
-	if err := site.Start(ctx); err != nil {
+	// A signal stops the site in order, so it must not end the roles.
+	if err := site.Start(context.WithoutCancel(ctx)); err != nil {
 		return 0, errors.CombineErrors(err, site.Stop())
 	}
 	if c.serve {
 		c.printAddresses(site)
 		<-ctx.Done()
-		return 0, site.Stop()
+		fmt.Fprintln(c.out, "stopping: jobs in flight are answered first; Ctrl-C again cuts them off")
+		return 0, c.stop(site)
 	}
 	began := time.Now()
 	sender := &submitter.Submitter{Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, Prefix: trace.Name}
@@ -93,6 +98,13 @@
 	return 0, nil
 }
 
+// stop ends a site without cutting off what is in flight.
+func (c *replayCommand) stop(site *assembler.Site) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
+	defer cancel()
+	return errors.CombineErrors(site.Drain(ctx), site.Stop())
+}
+
 func readTrace(path string) (tracer.Trace, error) {
 	file, err := os.Open(path)
 	if err != nil {
