Drain a site in an order in which agents are released

Change: entries answer, agents leave, then entries leave; an agent that is not released in time logs it and goes on; a test of the whole stop.

--- a/agent/runner/steps.go
+++ b/agent/runner/steps.go
@@ -30,11 +30,16 @@
 	return wait(ctx, a.ended)
 }
 
-// handOver waits until every entry has the results that it waits for.
+// handOver waits until every entry has the results that it waits for. An entry that does not release the agent
+// in time is lost or has left, and fails nothing.
 func (a *Agent) handOver(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, releaseBound)
+	bounded, cancel := context.WithTimeout(ctx, releaseBound)
 	defer cancel()
-	return wait(ctx, a.left)
+	if err := wait(bounded, a.left); err != nil && ctx.Err() == nil {
+		a.Log.Warn().Str(supervisor.FieldEvent, "NotReleased").Msg("an entry did not release this agent in time")
+		return nil
+	}
+	return context.Cause(ctx)
 }
 
 // leaveSite records that the agent has left.
--- /dev/null
+++ b/local/assembler/drain_test.go
@@ -0,0 +1,54 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"oleandertally/core/specifier"
+	"oleandertally/local/imitator"
+	"oleandertally/local/submitter"
+	"oleandertally/replay/tracer"
+)
+
+// Guards against a stop of the whole site that cuts off a job in flight, or that never ends.
+func TestDrainAnswersJobsInFlight(t *testing.T) {
+	starts := &imitator.StartLog{}
+	site := startSite(t, starts)
+	sender := &submitter.Submitter{Client: &http.Client{Transport: &http.Transport{}}, Entries: []netip.AddrPort{site.Layout.Entry(0), site.Layout.Entry(1)}}
+	for entry := range site.Entries {
+		awaitService(t, sender, entry)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), stopBound)
+	defer cancel()
+	var group errgroup.Group
+	results := make([]submitter.Result, 6)
+	for i := range results {
+		group.Go(func() error {
+			job := tracer.Job{Entry: i % 2, Team: "web", Profile: "hold", TimeLeftMillis: 20_000, RunMillis: []int{1000}}
+			results[i] = sender.Submit(ctx, job, fmt.Sprintf("drain-%d", i))
+			return nil
+		})
+	}
+	started := func() bool { tasks, _ := starts.Count(); return tasks >= len(results)+site.Entries }
+	for !started() {
+		select {
+		case <-ctx.Done():
+			t.Fatal("the jobs did not start")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	must.NoError(t, site.Drain(ctx))
+	must.NoError(t, group.Wait())
+	must.NoError(t, site.Stop())
+	for _, result := range results {
+		must.NoError(t, result.Err)
+		must.Eq(t, specifier.Complete, result.Response.Outcome)
+	}
+}
--- a/local/assembler/process.go
+++ b/local/assembler/process.go
@@ -41,7 +41,12 @@
 // stop runs the steps of a graceful shutdown and then ends the role.
 func (p *process) stop(ctx context.Context) error {
 	defer p.kill()
-	for _, step := range p.role.Steps() {
+	return p.step(ctx, 0, len(p.role.Steps()))
+}
+
+// step runs some steps of a planned stop.
+func (p *process) step(ctx context.Context, from, to int) error {
+	for _, step := range p.role.Steps()[from:to] {
 		if err := step.Run(ctx); err != nil {
 			return errors.Wrap(err, step.Name)
 		}
--- a/local/assembler/site.go
+++ b/local/assembler/site.go
@@ -88,19 +88,24 @@
 	return s.group.Wait()
 }
 
-// Drain ends every entry and then every agent as a planned stop does, so that nothing in flight is cut
-// off. Stop ends the rest.
+// Drain ends entries and agents as a planned stop does, so that nothing in flight is cut off: entries answer
+// their jobs, agents leave while the entries can still release them, and then the entries leave. Stop
+// ends the rest.
 func (s *Site) Drain(ctx context.Context) error {
-	for _, roles := range [][]*process{s.entries, s.agents} {
-		group, ctx := errgroup.WithContext(ctx)
-		for _, role := range roles {
-			group.Go(func() error { return role.stop(ctx) })
-		}
-		if err := group.Wait(); err != nil {
-			return err
-		}
+	answer := func(ctx context.Context, entry *process) error { return entry.step(ctx, 0, 1) }
+	leave := func(ctx context.Context, entry *process) error { return entry.step(ctx, 1, len(entry.role.Steps())) }
+	end := func(ctx context.Context, agent *process) error { return agent.stop(ctx) }
+	return errors.CombineErrors(inParallel(ctx, s.entries, answer),
+		errors.CombineErrors(inParallel(ctx, s.agents, end), inParallel(ctx, s.entries, leave)))
+}
+
+// inParallel does the same to all roles, and returns the first error.
+func inParallel(ctx context.Context, roles []*process, do func(context.Context, *process) error) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, role := range roles {
+		group.Go(func() error { return do(ctx, role) })
 	}
-	return nil
+	return group.Wait()
 }
 
 // KillEntry ends an entry at once.
