--- a/local/assembler/drain_test.go
+++ b/local/assembler/drain_test.go
@@ -5,18 +5,33 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
 
+	"oleandertally/core/recorder"
 	"oleandertally/core/specifier"
 	"oleandertally/local/imitator"
 	"oleandertally/local/submitter"
 	"oleandertally/replay/tracer"
 )
 
+// story lists the events of a site's jobs, for the report of a failure.
+func story(site *Site) string {
+	var text strings.Builder
+	events, _ := site.Events()
+	slices.SortStableFunc(events, func(a, b recorder.Event) int { return a.At.Compare(b.At) })
+	for _, event := range events {
+		fmt.Fprintf(&text, "%s %s %s %.4s task=%s epoch=%d other=%s %s\n", event.At.Format("05.000"), event.Process, event.Kind, event.Job, event.Task,
+			event.Epoch, event.Other, event.Detail)
+	}
+	return text.String()
+}
+
 // Guards against a stop of the whole site that cuts off a job in flight, or that never ends.
 func TestDrainAnswersJobsInFlight(t *testing.T) {
 	starts := &imitator.StartLog{}
@@ -40,7 +55,7 @@
 	for !started() {
 		select {
 		case <-ctx.Done():
-			t.Fatal("the jobs did not start")
+			t.Fatalf("the jobs did not start\n%s", story(site))
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
--- a/local/programs_test.go
+++ b/local/programs_test.go
@@ -165,8 +165,15 @@
 	}
 	sender := &submitter.Submitter{Entries: []netip.AddrPort{at(7001)}, Client: http.DefaultClient}
 	job := tracer.Job{Team: "web", Profile: "quote", TimeLeftMillis: 20_000, RunMillis: []int{5, 10, 15}}
-	// The entry is ready before its stream to the agent is open: the job waits for that.
-	result := sender.Submit(t.Context(), job, "first")
+	// The entry is ready before it knows the agent's slots, and before its stream to the agent is open: a job
+	// waits for the stream, and is refused until the slots are known.
+	var result submitter.Result
+	attempt := 0
+	awaitTrue(t, "the entry knows the agent", func() bool {
+		attempt++
+		result = sender.Submit(t.Context(), job, fmt.Sprintf("first-%d", attempt))
+		return result.Response.Reason != specifier.NoWorker
+	})
 	must.NoError(t, result.Err)
 	must.Eq(t, specifier.Complete, result.Response.Outcome, must.Sprint(result.Response))
 	must.Len(t, 3, result.Response.Results)
