--- a/local/assembler/copies_test.go
+++ b/local/assembler/copies_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -18,34 +19,34 @@
 	wide = 40
 	// half is how many starts a test waits for before it kills a process.
 	half = 20
-	// runMillis leaves time to kill a process while its tasks run.
-	runMillis = 700
+	// runTime leaves time to kill a process while its tasks run.
+	runTime = 700 * time.Millisecond
 )
 
 // Guards against a second start and against callers of one submission that get different answers.
 func TestCopies(t *testing.T) {
 	t.Run("no fault", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		responses := h.callAll("copies", newJob("hold", wide, runMillis))()
+		responses := h.callAll("copies", newJob("hold", wide, runTime))()
 		mustCompleteOnce(h, responses)
 	})
 	t.Run("owner entry killed", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		wait := h.callAll("copies", newJob("hold", wide, runMillis))
+		wait := h.callAll("copies", newJob("hold", wide, runTime))
 		h.awaitStarts()
 		h.site.KillEntry(h.owner("copies"))
 		mustCompleteOnce(h, wait())
 	})
 	t.Run("leading controller killed", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		wait := h.callAll("copies", newJob("hold", wide, runMillis))
+		wait := h.callAll("copies", newJob("hold", wide, runTime))
 		h.awaitStarts()
 		killLeader(h)
 		mustCompleteOnce(h, wait())
 	})
 	t.Run("agent killed", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		wait := h.callAll("copies", newJob("hold", wide, runMillis))
+		wait := h.callAll("copies", newJob("hold", wide, runTime))
 		h.awaitStarts()
 		killBusyAgent(h)
 		answer := h.mustAgree(wait())
@@ -57,7 +58,7 @@
 	})
 	t.Run("agent killed, repeatable", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		wait := h.callAll("copies", newJob("quote", wide, runMillis))
+		wait := h.callAll("copies", newJob("quote", wide, runTime))
 		h.awaitStarts()
 		killBusyAgent(h)
 		answer := h.mustAgree(wait())
@@ -69,7 +70,7 @@
 	})
 	t.Run("owner entry and an agent killed", func(t *testing.T) {
 		h := newHarness(t, newStartWatch(half))
-		wait := h.callAll("copies", newJob("hold", wide, runMillis))
+		wait := h.callAll("copies", newJob("hold", wide, runTime))
 		h.awaitStarts()
 		killBusyAgent(h)
 		h.site.KillEntry(h.owner("copies"))
@@ -85,7 +86,7 @@
 func TestLeaderLost(t *testing.T) {
 	const jobs, tasks = 60, 4
 	h := newHarness(t, newStartWatch(half))
-	body, err := json.Marshal(submitter.NewSubmission(newJob("hold", tasks, 200)))
+	body, err := json.Marshal(submitter.NewSubmission(newJob("hold", tasks, 200*time.Millisecond)))
 	must.NoError(t, err)
 	responses := make([]answerer.Response, jobs)
 	var group sync.WaitGroup
--- a/local/assembler/harness_test.go
+++ b/local/assembler/harness_test.go
@@ -81,7 +81,7 @@
 
 // warm waits until every entry has sent a task to every agent.
 func (h *harness) warm() {
-	keys, err := h.sender.Warm(h.ctx, newJob("hold", h.site.Slots(), 20), h.site.Workers)
+	keys, err := h.sender.Warm(h.ctx, newJob("hold", h.site.Slots(), 20*time.Millisecond), h.site.Workers)
 	must.NoError(h.t, err)
 	for _, key := range keys {
 		h.warmUps[idOf(key)] = true
@@ -90,10 +90,10 @@
 }
 
 // newJob returns a job of equal tasks.
-func newJob(profile string, tasks, runMillis int) tracer.Job {
+func newJob(profile string, tasks int, run time.Duration) tracer.Job {
 	job := tracer.Job{Team: team, Profile: profile, TimeLeftMillis: 60_000}
 	for range tasks {
-		job.RunMillis = append(job.RunMillis, runMillis)
+		job.RunMillis = append(job.RunMillis, int(run.Milliseconds()))
 	}
 	return job
 }
