Record which run of a task ended

Cause: the command that records an end named the task, not the run. Ruled out: the order of commands in the log and the wait of a new leader; the trace shows both as intended.

Change: TaskEnd has the run. A failure of a run that was replaced counts as an attempt; before, it was noted without a count.

--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "oleandertally/core/specifier"
+import (
+	"slices"
+
+	"oleandertally/core/specifier"
+)
 
 // apply applies a committed command, and answers for it when this controller leads.
 func (d *Dispatcher) apply(command specifier.QueueCommand) {
@@ -71,11 +75,11 @@
 	d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobCancelled})
 }
 
-// recorded counts the end of a task of a recorded job.
+// recorded goes on after the end of a run of a recorded job, which this leader or an earlier one proposed.
 func (d *Dispatcher) recorded(end specifier.TaskEnd) {
 	name := taskName(end.Job, end.Step, end.Index)
 	for _, h := range d.named() {
-		if h.record(name) {
+		if h.record(specifier.RunKey{Task: name, Run: end.Run}) {
 			d.acknowledge(h)
 		}
 	}
@@ -83,7 +87,8 @@
 	if t == nil || t.state == taskDone {
 		return
 	}
-	t.recording = max(t.recording-1, 0)
+	record := d.Keeper.Job(end.Job)
+	t.recording = slices.DeleteFunc(t.recording, func(run uint64) bool { return run == end.Run })
 	switch {
 	case end.How == specifier.EndDone:
 		if t.run != nil {
@@ -91,11 +96,11 @@
 			d.stop(t.run)
 			t.run = nil
 		}
-		d.count(t, end.How)
-	case t.state == taskEnding && t.recording > 0:
-		t.failures++ // another end of the task is on its way to the log
-	case t.state == taskEnding:
-		d.count(t, end.How)
+		d.done(t)
+	case record != nil && record.State == specifier.JobFailed:
+		d.fail(t.job)
+	case t.state == taskEnding && len(t.recording) == 0:
+		d.enqueue(t)
 	}
 }
 
--- a/controller/dispatcher/end.go
+++ b/controller/dispatcher/end.go
@@ -31,10 +31,11 @@
 	}
 	// An end under an earlier leader counts as well while the task has no other run.
 	current := r != nil && t.run == r || t.run == nil && (t.state == taskReady || t.state == taskBlocked) && !d.gather.IsZero()
-	if t.state == taskDone || !current && end.How != specifier.EndDone {
+	counts := end.How == specifier.EndDone || end.How == specifier.EndFailed && (current || !t.job.Transient)
+	if t.state == taskDone || !current && !counts {
 		return
 	}
-	if !current && t.run != nil {
+	if !current && t.run != nil && end.How == specifier.EndDone {
 		// The task is done: the run that took its place is of no use.
 		other := t.run
 		t.run, other.task = nil, nil
@@ -44,7 +45,7 @@
 		t.saved = end.Saved
 	}
 	d.judge(h, t, r, end)
-	if end.How != specifier.EndDone && end.How != specifier.EndFailed {
+	if !counts {
 		d.emit(Note{Event: "TaskInterrupted", Job: t.job.ID, Task: t.name, Run: end.Key.Run, Agent: h.name, Detail: end.How.String()})
 		if t.state == taskPlaced {
 			d.enqueue(t)
@@ -53,19 +54,41 @@
 	}
 	if t.job.Transient {
 		t.run = nil
-		d.count(t, end.How)
+		if end.How == specifier.EndDone {
+			d.done(t)
+			return
+		}
+		t.failures++
+		if t.failures >= max(t.job.queue.MaxAttempts, 1) {
+			d.fail(t.job)
+			return
+		}
+		d.enqueue(t)
 		return
 	}
-	pending.recorded = false
+	d.record(t, r, pending, end, current)
+}
+
+// record proposes the end of a run of a recorded job. An end that the log holds already may be noted at once; a failure of a run that
+// another one has replaced counts as an attempt and leaves the task as it is.
+func (d *Dispatcher) record(t *task, r *run, pending *pendingEnd, end specifier.RunEnd, current bool) {
 	if r != nil {
 		r.task = nil
 	}
-	t.state, t.run = taskEnding, nil
-	t.recording++
+	recording := specifier.TaskEnd{Job: t.job.ID, Step: t.step, Index: t.index, Run: end.Key.Run, How: end.How}
+	if known := d.Keeper.Job(t.job.ID); known == nil || !known.Counts(recording) {
+		if t.run == r && t.state == taskPlaced {
+			d.enqueue(t)
+		}
+		return
+	}
+	if current || end.How == specifier.EndDone {
+		t.state, t.run = taskEnding, nil
+		t.recording = append(t.recording, end.Key.Run)
+	}
 	t.job.started = true
-	h.recording(t, pending)
-	id, step, index := t.job.ID, t.step, t.index
-	d.propose(specifier.QueueCommand{Ends: []specifier.TaskEnd{{Job: id, Step: step, Index: index, How: end.How}}})
+	pending.recorded, pending.key = false, end.Key
+	d.propose(specifier.QueueCommand{Ends: []specifier.TaskEnd{recording}})
 }
 
 // judge lets the end tell about the worker.
@@ -86,20 +109,10 @@
 	}
 }
 
-// count changes a task and its job by an end that counts.
-func (d *Dispatcher) count(t *task, how specifier.EndKind) {
+// done ends a task, and its job with its last one.
+func (d *Dispatcher) done(t *task) {
 	j := t.job
-	if j.ended {
-		return
-	}
-	if how == specifier.EndFailed {
-		t.failures++
-		if t.failures >= max(j.queue.MaxAttempts, 1) {
-			d.stopJob(j)
-			d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobFailed})
-			return
-		}
-		d.enqueue(t)
+	if j.ended || t.state == taskDone {
 		return
 	}
 	t.state = taskDone
@@ -114,6 +127,12 @@
 	}
 }
 
+// fail ends a job of which a task has used all its attempts.
+func (d *Dispatcher) fail(j *job) {
+	d.stopJob(j)
+	d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobFailed})
+}
+
 // refused handles a start that did not happen.
 func (d *Dispatcher) refused(h *holder, end specifier.RunEnd) {
 	r := h.runs[end.Key]
--- a/controller/dispatcher/holder.go
+++ b/controller/dispatcher/holder.go
@@ -96,14 +96,11 @@
 	return h.noted > before
 }
 
-// recording notes that the end of a task is being recorded.
-func (h *holder) recording(t *task, end *pendingEnd) { end.task = t.name }
-
-// record notes that the end of the task is recorded, and reports whether one of this worker was.
-func (h *holder) record(task string) bool {
+// record notes that the end of the run is recorded, and reports whether it was one of this worker.
+func (h *holder) record(key specifier.RunKey) bool {
 	found := false
 	for _, end := range h.ends {
-		if !end.recorded && end.task == task {
+		if !end.recorded && end.key == key {
 			end.recorded, found = true, true
 		}
 	}
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -41,7 +41,6 @@
 		j.started = record.State == specifier.JobRunning
 		d.jobs[id] = j
 		j.all(func(t *task) {
-			t.failures = int(record.Failures[t.step][t.index])
 			if record.Done[t.step][t.index] {
 				t.state = taskDone
 				j.open[t.step]--
--- a/controller/dispatcher/pendingend.go
+++ b/controller/dispatcher/pendingend.go
@@ -1,8 +1,10 @@
 package dispatcher
 
+import "oleandertally/core/specifier"
+
 // pendingEnd is an end that a worker listed. It may be noted once it is recorded.
 type pendingEnd struct {
 	number   uint64
-	task     string // whose end is being recorded
+	key      specifier.RunKey // whose end is being recorded
 	recorded bool
 }
--- a/controller/dispatcher/task.go
+++ b/controller/dispatcher/task.go
@@ -14,11 +14,11 @@
 	state     taskState
 	run       *run // while placed or ending
 	starts    uint64
-	failures  int
-	recording int     // ends that are being recorded
-	avoid     *holder // where it failed last
-	saved     string  // newest checkpoint
-	queued    bool    // in the ready queue
+	failures  int      // of a transient job
+	recording []uint64 // runs whose ends are being recorded
+	avoid     *holder  // where it failed last
+	saved     string   // newest checkpoint
+	queued    bool     // in the ready queue
 }
 
 func taskName(id string, step, index int) string {
--- a/core/specifier/taskend.go
+++ b/core/specifier/taskend.go
@@ -5,5 +5,6 @@
 	Job   string
 	Step  int
 	Index int
+	Run   uint64 // which run of the task ended
 	How   EndKind
 }
--- a/state/keeper/image.go
+++ b/state/keeper/image.go
@@ -29,7 +29,7 @@
 		if record.State.Ended() {
 			each.Ended = record.Ended.UnixNano()
 		}
-		for step, done := range record.Done {
+		for _, done := range record.Done {
 			bits := make([]byte, len(done))
 			for i, set := range done {
 				if set {
@@ -37,7 +37,11 @@
 				}
 			}
 			each.Done = append(each.Done, bits)
-			each.Failures = append(each.Failures, slices.Clone(record.Failures[step]))
+		}
+		for _, at := range slices.SortedFunc(maps.Keys(record.failed), comparePlaces) {
+			for _, run := range record.failed[at] {
+				each.Failures = append(each.Failures, &encoder.QueueEnd{Step: uint32(at.step), Index: uint32(at.index), Run: run, How: uint32(specifier.EndFailed)})
+			}
 		}
 		m.Jobs = append(m.Jobs, each)
 	}
@@ -92,7 +96,7 @@
 	record := newRecord(*job)
 	record.State = state
 	for step := range record.Done {
-		if step >= len(m.Done) || step >= len(m.Failures) || len(m.Done[step]) != len(record.Done[step]) || len(m.Failures[step]) != len(record.Done[step]) {
+		if step >= len(m.Done) || len(m.Done[step]) != len(record.Done[step]) {
 			return errors.Mark(errors.Newf("keeper: job %q: step %d does not fit its tasks", job.ID, step), ErrImage)
 		}
 		for i, bit := range m.Done[step] {
@@ -101,7 +105,13 @@
 				record.left--
 			}
 		}
-		copy(record.Failures[step], m.Failures[step])
+	}
+	for _, end := range m.Failures {
+		if !record.holds(int(end.Step), int(end.Index)) {
+			return errors.Mark(errors.Newf("keeper: job %q: task %d of step %d failed, which the job does not have", job.ID, end.Index, end.Step), ErrImage)
+		}
+		at := place{int(end.Step), int(end.Index)}
+		record.failed[at] = append(record.failed[at], end.Run)
 	}
 	k.jobs[job.ID] = record
 	return nil
--- a/state/keeper/keeper.go
+++ b/state/keeper/keeper.go
@@ -75,10 +75,11 @@
 	}
 }
 
-// note counts an end of a task. An end for a task that is done, or of a job that has ended, changes nothing.
+// note counts an end of a task. The end of a run that has been counted, of a task that is done, or of a job that has ended changes
+// nothing: successive leaders may record the same end.
 func (k *Keeper) note(end specifier.TaskEnd) {
 	record := k.jobs[end.Job]
-	if record == nil || record.State.Ended() || !record.holds(end.Step, end.Index) || record.Done[end.Step][end.Index] {
+	if record == nil || !record.Counts(end) {
 		return
 	}
 	record.State = specifier.JobRunning
@@ -89,9 +90,9 @@
 			k.end(end.Job, specifier.JobCompleted)
 		}
 	case specifier.EndFailed:
-		failures := &record.Failures[end.Step][end.Index]
-		*failures = min(*failures, 254) + 1
-		if int(*failures) >= k.attempts(record.Job.Queue) {
+		at := place{end.Step, end.Index}
+		record.failed[at] = append(record.failed[at], end.Run)
+		if len(record.failed[at]) >= k.attempts(record.Job.Queue) {
 			k.end(end.Job, specifier.JobFailed)
 		}
 	}
--- a/state/keeper/keeper_test.go
+++ b/state/keeper/keeper_test.go
@@ -13,6 +13,9 @@
 
 const retention = time.Minute
 
+// runs numbers the runs of end, which never repeats one.
+var runs uint64
+
 // newKeeper returns a state with one queue and one accepted job of three tasks.
 func newKeeper() *Keeper {
 	k := New(retention)
@@ -26,7 +29,12 @@
 }
 
 func end(k *Keeper, step, index int, how specifier.EndKind) {
-	k.Apply(specifier.QueueCommand{Ends: []specifier.TaskEnd{{Job: "a", Step: step, Index: index, How: how}}})
+	runs++
+	endOf(k, step, index, runs, how)
+}
+
+func endOf(k *Keeper, step, index int, run uint64, how specifier.EndKind) {
+	k.Apply(specifier.QueueCommand{Ends: []specifier.TaskEnd{{Job: "a", Step: step, Index: index, Run: run, How: how}}})
 }
 
 func mustState(t *testing.T, k *Keeper, want specifier.QueueState) {
@@ -54,6 +62,15 @@
 		end(k, 0, 0, specifier.EndFailed)
 		mustState(t, k, specifier.JobFailed)
 	})
+	t.Run("one failure of a run", func(t *testing.T) { // guards against an attempt that two leaders record and that counts twice
+		k := newKeeper()
+		endOf(k, 0, 0, 7, specifier.EndFailed)
+		endOf(k, 0, 0, 7, specifier.EndFailed)
+		mustState(t, k, specifier.JobRunning)
+		must.Eq(t, 1, k.Job("a").Failures(0, 0))
+		endOf(k, 0, 0, 8, specifier.EndFailed)
+		mustState(t, k, specifier.JobFailed)
+	})
 	t.Run("a cancellation is final", func(t *testing.T) { // guards against a cancelled job that completes
 		k := newKeeper()
 		k.Apply(specifier.QueueCommand{Cancel: "a"})
--- a/state/keeper/record.go
+++ b/state/keeper/record.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -8,20 +9,19 @@
 
 // Record is a recorded job and what its tasks have come to.
 type Record struct {
-	Job      specifier.QueuedJob // without content and steps once it has ended
-	State    specifier.QueueState
-	Done     [][]bool  // by step and task
-	Failures [][]uint8 // runs that failed, by step and task
-	Ended    time.Time // on the log's clock; zero until then
+	Job   specifier.QueuedJob // without content and steps once it has ended
+	State specifier.QueueState
+	Done  [][]bool  // by step and task
+	Ended time.Time // on the log's clock; zero until then
 
-	left int // tasks that are not done
+	left   int                // tasks that are not done
+	failed map[place][]uint64 // runs that failed
 }
 
 func newRecord(job specifier.QueuedJob) *Record {
-	record := &Record{Job: job, left: job.Tasks()}
+	record := &Record{Job: job, left: job.Tasks(), failed: make(map[place][]uint64)}
 	for _, step := range job.Steps {
 		record.Done = append(record.Done, make([]bool, step.Count))
-		record.Failures = append(record.Failures, make([]uint8, step.Count))
 	}
 	return record
 }
@@ -31,7 +31,16 @@
 	return step >= 0 && step < len(r.Done) && index >= 0 && index < len(r.Done[step])
 }
 
+// Failures returns how many runs of the task have failed.
+func (r *Record) Failures(step, index int) int { return len(r.failed[place{step, index}]) }
+
+// Counts reports whether the end of a run changes the record: the task is not done, and the run is not known to have failed.
+func (r *Record) Counts(end specifier.TaskEnd) bool {
+	return !r.State.Ended() && r.holds(end.Step, end.Index) && !r.Done[end.Step][end.Index] &&
+		!slices.Contains(r.failed[place{end.Step, end.Index}], end.Run)
+}
+
 func (r *Record) end(state specifier.QueueState, now time.Time) {
 	r.State, r.Ended = state, now
-	r.Job.Content, r.Job.Steps, r.Done, r.Failures = "", nil, nil, nil
+	r.Job.Content, r.Job.Steps, r.Done, r.failed = "", nil, nil, nil
 }
