Stop unclaimed runs of unknown room early, and look at adopted ones when they are due

Cause: after a restart of an agent the room of what runs beside it is not known, and a worker with such a run gets no start. A second fault on the same path: the timer of an unclaimed run also fired for a run that a job had claimed meanwhile, which was stopped and its worker taken out as if it stood still. Ruled out: the election (0.37 s after the restart) and the wait for agents (19 ms).

--- a/controller/dispatcher/holder.go
+++ b/controller/dispatcher/holder.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// learnRoom notes what a run uses whose room was not known.
+func (h *holder) learnRoom(r *run, room specifier.Room) {
+	if r.room != (specifier.Room{}) || h.runs[r.key] != r {
+		return
+	}
+	h.remove(r)
+	r.room = room
+	h.add(r)
+}
+
 func (h *holder) remove(r *run) {
 	if h.runs[r.key] != r {
 		return
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -80,6 +80,6 @@
 	d.gather = time.Time{}
 	d.emit(Note{Event: "AgentsListed", Left: len(d.holders)})
 	for _, name := range slices.Sorted(maps.Keys(d.orphans)) {
-		d.wake(d.now.Add(d.Settings.OrphanAfter), timer{run: d.orphans[name]})
+		d.watchOrphan(d.orphans[name])
 	}
 }
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -146,12 +146,13 @@
 		return
 	}
 	estimate := r.task.job.Steps[r.task.step].Estimate
-	d.wake(d.now.Add(stuckFactor*estimate+stuckFloor), timer{run: r})
+	r.lookAt = d.now.Add(stuckFactor*estimate + stuckFloor)
+	d.wake(r.lookAt, timer{run: r})
 }
 
 // expireRun stops a run that no job claims, or that stands still.
 func (d *Dispatcher) expireRun(r *run) {
-	if r.holder.runs[r.key] != r || r.stopping {
+	if r.holder.runs[r.key] != r || r.stopping || d.now.Before(r.lookAt) {
 		return
 	}
 	if r.task == nil {
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -179,7 +179,7 @@
 		// It is done, runs elsewhere or may be started elsewhere at any moment, or its job has ended.
 		if other := d.orphans[r.key.Task]; t == nil && other == nil && d.Keeper.Job(jobOf(r.key.Task)) == nil {
 			d.orphans[r.key.Task] = r
-			d.wake(d.now.Add(d.Settings.OrphanAfter), timer{run: r})
+			d.watchOrphan(r)
 			return
 		}
 		d.stop(r)
@@ -194,6 +194,17 @@
 	}
 }
 
+// watchOrphan looks again at a run that no job claims. Entries hand their jobs in again within a few milliseconds of finding a
+// leader, callers seconds later.
+func (d *Dispatcher) watchOrphan(r *run) {
+	wait := d.Settings.OrphanAfter
+	if r.room == (specifier.Room{}) {
+		wait = d.Settings.BlockedAfter
+	}
+	r.lookAt = d.now.Add(wait)
+	d.wake(r.lookAt, timer{run: r})
+}
+
 // lose ends a run without an end of its own: its worker or its lease is gone, or it never started.
 func (d *Dispatcher) lose(r *run, how specifier.EndKind) {
 	r.holder.remove(r)
--- a/controller/dispatcher/run.go
+++ b/controller/dispatcher/run.go
@@ -14,5 +14,6 @@
 	task     *task  // nil while no job claims it
 	order    uint64 // that started it; 0 when the agent listed it
 	began    time.Time
+	lookAt   time.Time // when it has been unclaimed for too long, or stands still
 	stopping bool
 }
