Refer callers from hosts without a disk, and tell them sooner that there is no leader

Cause, first: on the grown sites the loss of two disks must be borne, which takes five voters or more, but one controller a zone gives three or four, and nothing was taken in. A third of the frontends of a zone are its machines with a disk on all four sites. Second: without a leader every call waited 700 ms, also seconds into an outage, when hardly any job could still end in time; and a job that was running was given up after 700 ms though its run went on. Ruled out: count = 2, which puts controllers on machines without a disk from the start on the small sites, also among the seeds.

Change: controller/referrer serves on such a host: it names the controllers that it knows, and passes the operator's calls on. In a long outage a job waits a quarter of its ideal time; one that may be running waits its ideal time longer than others.

--- a/controller/dispatcher/job.go
+++ b/controller/dispatcher/job.go
@@ -31,8 +31,7 @@
 const lateFactor = 3
 
 func newJob(definition specifier.QueuedJob, queue specifier.Queue, now time.Time) *job {
-	j := &job{QueuedJob: definition, queue: queue, arrived: now}
-	chains := make([]time.Duration, len(definition.Steps))
+	j := &job{QueuedJob: definition, queue: queue, arrived: now, ideal: definition.Ideal()}
 	for number, step := range definition.Steps {
 		var tasks []*task
 		for index := range step.Count {
@@ -41,11 +40,6 @@
 		j.tasks = append(j.tasks, tasks)
 		j.open = append(j.open, step.Count)
 		j.left += step.Count
-		for _, before := range step.After {
-			chains[number] = max(chains[number], chains[before])
-		}
-		chains[number] += step.Estimate
-		j.ideal = max(j.ideal, chains[number])
 	}
 	objective := queue.Objective(j.ideal)
 	j.due, j.late = now.Add(objective), now.Add(lateFactor*objective)
--- /dev/null
+++ b/controller/referrer/referrer.go
@@ -0,0 +1,63 @@
+package referrer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials"
+
+	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
+	"oleandertally/state/transporter"
+)
+
+// Referrer answers for the controllers that it knows. Exported fields are set before Run.
+type Referrer struct {
+	Addr        netip.AddrPort
+	Credentials credentials.TransportCredentials
+	// Known returns the leading controller, or the zero address, and the controllers that it named last.
+	Known func() (leader netip.AddrPort, controllers []netip.AddrPort)
+
+	listener net.Listener
+}
+
+// Check returns an error that names the first field that is not set.
+func (r *Referrer) Check() error {
+	switch {
+	case !r.Addr.IsValid():
+		return errors.New("referrer: Addr: is not set")
+	case r.Credentials == nil:
+		return errors.New("referrer: Credentials: is not set")
+	case r.Known == nil:
+		return errors.New("referrer: Known: is not set")
+	}
+	return nil
+}
+
+// Open listens at Addr.
+func (r *Referrer) Open() error {
+	if err := r.Check(); err != nil {
+		return err
+	}
+	var err error
+	r.listener, err = net.Listen("tcp", r.Addr.String())
+	return errors.Wrap(err, "referrer: listen on Addr")
+}
+
+// Run serves until ctx ends. Open comes first.
+func (r *Referrer) Run(ctx context.Context) error {
+	server := dialer.NewServer(r.Credentials)
+	encoder.RegisterQueueKeeperServer(server, &queues{known: r.Known})
+	transporter.RegisterReplicaServer(server, &replica{known: r.Known})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return errors.Wrap(server.Serve(r.listener), "referrer: serve") })
+	group.Go(func() error {
+		defer server.Stop()
+		<-ctx.Done()
+		return context.Cause(ctx)
+	})
+	return group.Wait()
+}
--- a/core/seeker/book.go
+++ b/core/seeker/book.go
@@ -10,6 +10,7 @@
 	seeds  []netip.AddrPort
 	known  []netip.AddrPort
 	leader netip.AddrPort // where to look first; zero for none
+	linked netip.AddrPort // the leader at the other end of the present stream; zero without one
 	next   int
 }
 
--- a/core/seeker/seeker.go
+++ b/core/seeker/seeker.go
@@ -85,6 +85,19 @@
 	s.book.seeds = seeds
 }
 
+// Known returns the leader, or the zero address while none is linked, and the controllers that one of them told last.
+func (s *Seeker[In, Out]) Known() (leader netip.AddrPort, controllers []netip.AddrPort) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.book.linked, s.book.known
+}
+
+func (s *Seeker[In, Out]) setLinked(addr netip.AddrPort) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.book.linked = addr
+}
+
 func (s *Seeker[In, Out]) learn(m *encoder.QueueWelcome, at netip.AddrPort) {
 	var controllers []netip.AddrPort
 	for _, text := range m.Controllers {
@@ -120,6 +133,8 @@
 	if err := s.await(stream, addr, watchdog); err != nil {
 		return err
 	}
+	s.setLinked(addr)
+	defer s.setLinked(netip.AddrPort{})
 	box := mailer.NewOutbox[Out]()
 	if err := s.Linked(ctx, addr, box); err != nil {
 		return err
--- a/core/specifier/queuedjob.go
+++ b/core/specifier/queuedjob.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 )
 
 // Bounds of a queued job.
@@ -31,6 +32,20 @@
 	return total
 }
 
+// Ideal returns the run time of the longest chain of steps, by their estimates.
+func (j QueuedJob) Ideal() time.Duration {
+	var longest time.Duration
+	chains := make([]time.Duration, len(j.Steps))
+	for number, step := range j.Steps {
+		for _, before := range step.After {
+			chains[number] = max(chains[number], chains[before])
+		}
+		chains[number] += step.Estimate
+		longest = max(longest, chains[number])
+	}
+	return longest
+}
+
 // Check returns what is wrong with the job.
 func (j QueuedJob) Check() *Problems {
 	p := &Problems{}
--- a/entry/requester/machine.go
+++ b/entry/requester/machine.go
@@ -15,6 +15,8 @@
 	againAfter = 40 * time.Millisecond
 	// leaderWithin is how long a call waits for a leader. Most changes of the leader take less.
 	leaderWithin = 700 * time.Millisecond
+	// idealPart of its ideal run time, as a divisor, is what a job can wait for a leader that has been missing for longer.
+	idealPart = 4
 	// pingEvery keeps a stream from being silent, which counts as broken.
 	pingEvery = 100 * time.Millisecond
 )
@@ -25,7 +27,7 @@
 	calls   map[uint64]*pending
 	callers map[chan<- answer]*pending
 	box     *mailer.Outbox[*encoder.QueueCalls] // nil without a stream
-	lostAt  time.Time                           // when the last stream ended; zero with a stream
+	lostAt  time.Time                           // since when there is no stream; zero with one
 	pingAt  time.Time
 	actions []action
 }
@@ -39,6 +41,9 @@
 	m.actions = nil
 	switch e := e.(type) {
 	case asked:
+		if m.box == nil && m.lostAt.IsZero() {
+			m.lostAt = now // the first call of this process
+		}
 		m.last++
 		call := &pending{sequence: m.last, call: e.call, asked: now, deadline: e.deadline, answered: e.answered}
 		m.calls[m.last], m.callers[e.answered] = call, call
@@ -106,9 +111,15 @@
 	if m.lostAt.IsZero() {
 		return call.deadline
 	}
+	ideal := call.call.Job.Ideal()
 	giveUp := m.lostAt.Add(leaderWithin)
-	if call.asked.After(m.lostAt) {
-		giveUp = call.asked.Add(leaderWithin)
+	switch soon := call.asked.Add(ideal / idealPart); {
+	case call.call.Verb != specifier.SubmitQueued:
+		giveUp = later(giveUp, call.asked.Add(leaderWithin))
+	case call.lost:
+		giveUp = giveUp.Add(ideal) // its tasks may be running
+	default:
+		giveUp = later(giveUp, soon)
 	}
 	if giveUp.Before(call.deadline) {
 		return giveUp
@@ -116,6 +127,13 @@
 	return call.deadline
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *machine) put(message *encoder.QueueCalls) {
 	if m.box != nil {
 		m.actions = append(m.actions, action{box: m.box, message: message})
--- a/entry/requester/machine_test.go
+++ b/entry/requester/machine_test.go
@@ -118,3 +118,49 @@
 		must.Eq(t, uint32(specifier.AbandonQueued), d.sent[len(d.sent)-1].Verb)
 	})
 }
+
+func TestWithoutALeader(t *testing.T) {
+	job := specifier.QueuedJob{Steps: []specifier.Step{{Count: 1, Estimate: 200 * time.Millisecond}}}
+	submit := func(d *desk) chan<- answer {
+		answered := make(chan answer, 1)
+		d.step(asked{call: specifier.QueueCall{Verb: specifier.SubmitQueued, Job: job}, deadline: d.now.Add(10 * time.Second), answered: answered})
+		return answered
+	}
+	t.Run("a job at the beginning", func(t *testing.T) { // guards against a refusal while the next leader is being elected
+		d := newDesk(t)
+		d.link()
+		d.step(unlinked{})
+		call := submit(d)
+		d.advance(leaderWithin - time.Millisecond)
+		must.MapEmpty(t, d.answers)
+		d.advance(time.Millisecond)
+		d.mustAnswer(call, 0, ErrUnsent)
+	})
+	t.Run("a job after a while", func(t *testing.T) { // guards against jobs that are held though no leader is likely to come in time
+		d := newDesk(t)
+		submit(d)
+		d.advance(leaderWithin)
+		call := submit(d)
+		d.advance(job.Ideal() / idealPart)
+		d.mustAnswer(call, 0, ErrUnsent)
+	})
+	t.Run("a job that may be running", func(t *testing.T) { // guards against work that goes on and whose caller is sent away
+		d := newDesk(t)
+		d.link()
+		call := submit(d)
+		d.step(unlinked{})
+		d.advance(leaderWithin + job.Ideal() - time.Millisecond)
+		must.MapEmpty(t, d.answers)
+		d.advance(time.Millisecond)
+		d.mustAnswer(call, 0, ErrUnanswered)
+	})
+	t.Run("a change of the manifest", func(t *testing.T) { // guards against an operator who is sent away at once
+		d := newDesk(t)
+		submit(d)
+		d.advance(leaderWithin)
+		d.ask(specifier.PutManifest)
+		before := len(d.answers)
+		d.advance(leaderWithin - time.Millisecond)
+		must.MapLen(t, before, d.answers)
+	})
+}
--- a/entry/requester/requester.go
+++ b/entry/requester/requester.go
@@ -68,6 +68,11 @@
 // SetSeeds replaces the controllers to ask first.
 func (r *Requester) SetSeeds(seeds []netip.AddrPort) { r.seeker.SetSeeds(seeds) }
 
+// Known returns the leader, or the zero address while there is none, and the controllers that one of them told last.
+func (r *Requester) Known() (leader netip.AddrPort, controllers []netip.AddrPort) {
+	return r.seeker.Known()
+}
+
 // Call returns the reply, ErrUnsent or ErrUnanswered at the deadline, or the context's error.
 func (r *Requester) Call(ctx context.Context, call specifier.QueueCall, deadline time.Time) (specifier.QueueReply, error) {
 	answered := make(chan answer, 1)
