--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"oleandertally/core/specifier"
 )
@@ -104,6 +105,21 @@
 	}
 }
 
+// recordAgain is how long after the log did not take the end of a task it is proposed again.
+const recordAgain = 50 * time.Millisecond
+
+// recordUnrecorded proposes the ends again that the log did not take.
+func (d *Dispatcher) recordUnrecorded() {
+	if len(d.unrecorded) == 0 || d.now.Before(d.recordAt) {
+		return
+	}
+	ends := d.unrecorded
+	d.unrecorded = nil
+	for _, end := range ends {
+		d.propose(specifier.QueueCommand{Ends: []specifier.TaskEnd{end}})
+	}
+}
+
 // dropped answers for a command that the log did not take. Its callers may ask again.
 func (d *Dispatcher) dropped(command specifier.QueueCommand) {
 	busy := specifier.QueueReply{Result: specifier.QueueUnavailable, Detail: "the log does not take the change now"}
@@ -124,6 +140,10 @@
 			j.cancelled = false
 			d.release(j)
 		}
+	case len(command.Ends) > 0:
+		d.unrecorded = append(d.unrecorded, command.Ends...)
+		d.recordAt = d.now.Add(recordAgain)
+		d.wake(d.recordAt, timer{})
 	case command.Enroll != "" || command.Dismiss != "":
 		if h := d.holders[command.Enroll+command.Dismiss]; h != nil {
 			h.enrolling = false
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -38,6 +38,9 @@
 	order    map[*holder]*specifier.LeaseOrder
 	ordered  []*holder
 	waiting  int // tasks that are ready or blocked
+
+	unrecorded []specifier.TaskEnd // that the log did not take
+	recordAt   time.Time           // when they are proposed again
 }
 
 // Step handles one event.
@@ -106,6 +109,7 @@
 func (d *Dispatcher) flush() []Action {
 	if d.leading && d.Leading(d.now) {
 		d.endGather()
+		d.recordUnrecorded()
 		d.place()
 	}
 	for _, h := range d.ordered {
--- a/controller/dispatcher/end_test.go
+++ b/controller/dispatcher/end_test.go
@@ -28,6 +28,27 @@
 	return b.d.Step(b.now, Applied{specifier.QueueCommand{Ends: []specifier.TaskEnd{{Job: jobOf(key.Task), Step: step, Index: index, Run: key.Run, How: how}}}})
 }
 
+// Guards against a kept job that never ends because the log did not take the end of its last task: a leader whose lease has ended for
+// a moment refuses commands and goes on leading.
+func TestEndThatTheLogDidNotTake(t *testing.T) {
+	b := newDesk(t, 1)
+	b.submit("a", 1, false)
+	key := b.starts()[0].Key
+	proposed := find[Propose](b.reportEnd(1, key, specifier.EndDone))
+	must.SliceLen(t, 1, proposed)
+	must.SliceEmpty(t, find[Propose](b.d.Step(b.now, Dropped(proposed[0]))))
+	b.leading = false
+	b.advance(recordAgain)
+	must.SliceEmpty(t, find[Propose](b.actions))
+	b.leading = true
+	b.advance(recordAgain)
+	again := find[Propose](b.actions)
+	must.SliceLen(t, 1, again)
+	must.Eq(t, proposed[0].Command.Ends, again[0].Command.Ends)
+	must.Eq(t, 1, noted(b.d.Step(b.now, Applied(again[0]))))
+	must.Eq(t, specifier.JobCompleted, b.d.Keeper.Job("a").State)
+}
+
 func TestTwoEndsOfOneTask(t *testing.T) {
 	t.Run("another run's end is recorded", func(t *testing.T) { // guards against an end that is noted before it is recorded itself
 		b := newDesk(t, 1)
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -21,7 +21,7 @@
 	d.ready, d.waiting = readyQueue{}, 0
 	d.timers = collector.Heap[timer]{Less: earlier}
 	d.puts, d.order = make(map[uint64][]waiter), make(map[*holder]*specifier.LeaseOrder)
-	d.ordered = nil
+	d.ordered, d.unrecorded = nil, nil
 }
 
 // lead begins to lead: recorded jobs go on, and nothing is started before it is known what runs.
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -42,7 +42,8 @@
 type Controller struct {
 	Name           string
 	Zone           string
-	Addr           netip.AddrPort // gRPC
+	Addr           netip.AddrPort // gRPC, as others reach it
+	ListenAddr     netip.AddrPort // behind a port forwarder; zero for Addr
 	DataFolder     string
 	Peers          []Peer // every controller of the cluster, this one included
 	Bootstrap      bool   // begin a new cluster of this controller alone; the others join it
@@ -156,8 +157,12 @@
 	if c.machine, err = c.newMachine(c.recovered); err != nil {
 		return err
 	}
-	c.listener, err = net.Listen("tcp", c.Addr.String())
-	return errors.Wrap(err, "controller: listen on Addr")
+	at := c.Addr
+	if c.ListenAddr.IsValid() {
+		at = c.ListenAddr
+	}
+	c.listener, err = net.Listen("tcp", at.String())
+	return errors.Wrapf(err, "controller: listen on %s", at)
 }
 
 // Run serves until ctx ends or the controller can't go on. It opens what Open has not opened.
--- a/local/prover/fakeleader_test.go
+++ b/local/prover/fakeleader_test.go
@@ -6,6 +6,9 @@
 	"oleandertally/controller/dispatcher"
 )
 
+// refusedCommands is the share of commands that the log does not take: the leader's lease has ended for a moment.
+const refusedCommands = 0.03
+
 // fakeLeader is a controller: its dispatcher, and the log without its consensus.
 type fakeLeader struct {
 	world   *world
@@ -23,6 +26,14 @@
 		switch action := action.(type) {
 		case dispatcher.Propose:
 			term := l.term
+			if w.fault(refusedCommands) {
+				w.after(0, func() {
+					if w.leading == l.index && l.term == term {
+						l.step(dispatcher.Dropped(action))
+					}
+				})
+				continue
+			}
 			w.after(w.span(5*time.Millisecond, 20*time.Millisecond), func() {
 				// A proposal of a leader that was deposed meanwhile is committed before the next one leads, or never.
 				if w.leading == l.index && l.term == term || w.leading < 0 && w.term == term && w.chance(0.5) {
