Keep agents in order, and pass over tasks that can't fit

Cause: each event of the leader sorted the agents by name and tried up to 24 waiting tasks at every worker. BenchmarkEnds, 64 full workers with jobs waiting: 27.4 us for the end of a task and the next start, of which 54% was the sort. Change: the list by name is kept in order, and a task that needs as much as one that fitted nowhere in this placement is not tried. The choice of workers is the same. After: 11.6 us.

--- /dev/null
+++ b/controller/dispatcher/bench_test.go
@@ -0,0 +1,78 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleandertally/core/specifier"
+	"oleandertally/state/keeper"
+)
+
+// BenchmarkEnds measures the control goroutine's time for the end of a task and the start of the next one, at 64 and 940 workers
+// that are all full while jobs wait.
+func BenchmarkEnds(b *testing.B) {
+	for _, workers := range []int{64, 940} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			d := &Dispatcher{Keeper: keeper.New(time.Minute), Settings: Defaults(), Leading: func(time.Time) bool { return true }, Open: func() bool { return true }}
+			step := func(event Event) []Action { return d.Step(now, event) }
+			step(Led{Term: 1})
+			step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{
+				{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}}}}})
+			var running []RunAt
+			take := func(actions []Action) {
+				for _, action := range actions {
+					switch action := action.(type) {
+					case Propose:
+						step(Applied(action))
+					case Order:
+						for _, start := range action.Order.Starts {
+							running = append(running, RunAt{action.Stream, start.Key})
+						}
+					}
+				}
+			}
+			for agent := 1; agent <= workers; agent++ {
+				for range 2 {
+					report := specifier.LeaseReport{Agent: name(agent), Incarnation: 1, Renewal: 1, Settled: true, Listed: true,
+						Worker: &specifier.LeasedWorker{ID: name(agent), Born: time.Unix(1, 0), Pool: "p", Capacity: specifier.Room{MilliCores: 16000, Memory: 1 << 15}}}
+					if h := d.holders[name(agent)]; h != nil {
+						report.Token = d.fence(h)
+					}
+					take(step(Reported{Stream: Stream(agent), Report: report}))
+				}
+			}
+			jobs, numbers := 0, make(map[Stream]uint64)
+			b.ResetTimer()
+			for i := range b.N {
+				for len(d.ready.list) < 200 {
+					jobs++
+					take(step(Called{Stream: caller, Sequence: uint64(jobs), Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: fmt.Sprintf("/q/%d", jobs),
+						Job: specifier.QueuedJob{Transient: true, Steps: []specifier.Step{{Count: 4, Room: specifier.Room{MilliCores: 1400 + jobs%400, Memory: 64}, Estimate: 100 * time.Millisecond}}}}}))
+				}
+				at := running[0]
+				running = running[1:]
+				numbers[at.stream]++
+				now = now.Add(300 * time.Microsecond)
+				renewal := uint64(0)
+				if i%4 == 0 {
+					renewal = uint64(i)
+				}
+				take(step(Reported{Stream: at.stream, Report: specifier.LeaseReport{Agent: name(int(at.stream)), Incarnation: 1, Renewal: renewal,
+					Ends: []specifier.RunEnd{{Number: numbers[at.stream], Key: at.key, How: specifier.EndDone}}}}))
+				if i%workers == 0 {
+					for agent := 1; agent <= workers; agent++ {
+						d.holders[name(agent)].renewed = now
+					}
+				}
+			}
+		})
+	}
+}
+
+// RunAt is a run at the agent of a stream.
+type RunAt struct {
+	stream Stream
+	key    specifier.RunKey
+}
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -79,7 +79,7 @@
 // recorded goes on after the end of a run of a recorded job, which this leader or an earlier one proposed.
 func (d *Dispatcher) recorded(end specifier.TaskEnd) {
 	name := taskName(end.Job, end.Step, end.Index)
-	for _, h := range d.named() {
+	for _, h := range d.named {
 		if h.record(specifier.RunKey{Task: name, Run: end.Run}) {
 			d.acknowledge(h)
 		}
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"oleandertally/core/collector"
@@ -29,6 +28,8 @@
 	jobs     map[string]*job
 	calls    map[waiter]*job
 	holders  map[string]*holder
+	named    []*holder // the same, by name
+	usables  []*holder // of the present placement
 	streams  map[Stream]*holder
 	orphans  map[string]*run // newest run of a task that no job claims, by task name
 	finished map[string]specifier.RunEnd
@@ -162,18 +163,3 @@
 func (d *Dispatcher) reply(to waiter, reply specifier.QueueReply) {
 	d.emit(Reply{Stream: to.stream, Sequence: to.sequence, Reply: reply})
 }
-
-// named returns the agents in a stable order.
-func (d *Dispatcher) named() []*holder {
-	list := make([]*holder, 0, len(d.holders))
-	for _, h := range d.holders {
-		list = append(list, h)
-	}
-	slices.SortFunc(list, func(a, b *holder) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -17,6 +17,7 @@
 	d.gather = time.Time{}
 	d.jobs, d.calls = make(map[string]*job), make(map[waiter]*job)
 	d.holders, d.streams = make(map[string]*holder), make(map[Stream]*holder)
+	d.named = nil
 	d.orphans, d.finished = make(map[string]*run), make(map[string]specifier.RunEnd)
 	d.ready, d.waiting = readyQueue{}, 0
 	d.timers = collector.Heap[timer]{Less: earlier}
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -42,7 +42,13 @@
 	if !d.gather.IsZero() || len(d.ready.list) == 0 {
 		return
 	}
-	holders := slices.DeleteFunc(d.named(), func(h *holder) bool { return !d.usable(h) })
+	d.usables = d.usables[:0]
+	for _, h := range d.named {
+		if d.usable(h) {
+			d.usables = append(d.usables, h)
+		}
+	}
+	var missed missedRooms
 	misses := 0
 	for at := 0; at < len(d.ready.list) && misses < missesMost; {
 		entry := d.ready.list[at]
@@ -60,8 +66,12 @@
 			d.ready.push(d.key(t), t)
 			continue
 		}
-		h := d.choose(holders, t)
+		var h *holder
+		if !missed.covers(t) {
+			h = d.choose(d.usables, t)
+		}
 		if h == nil {
+			missed.note(t)
 			misses++
 			at++
 			continue
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -63,7 +63,7 @@
 	h := d.holders[report.Agent]
 	if h == nil {
 		h = &holder{name: report.Agent, runs: make(map[specifier.RunKey]*run)}
-		d.holders[report.Agent] = h
+		d.addHolder(h)
 	}
 	if h.stream == stream {
 		return h
@@ -132,7 +132,7 @@
 	for _, r := range h.sorted() {
 		d.lose(r, specifier.EndLapsed)
 	}
-	delete(d.holders, h.name)
+	d.removeHolder(h)
 	delete(d.streams, h.stream)
 	if d.Keeper.Enrolled(h.name) {
 		d.propose(specifier.QueueCommand{Dismiss: h.name})
--- a/controller/server/queues.go
+++ b/controller/server/queues.go
@@ -24,8 +24,8 @@
 
 	mailbox *mailer.Mailbox[driver.Event]
 	last    atomic.Uint64
-	calls   queueStreams[*encoder.QueueReplies]
-	attends queueStreams[*encoder.QueueOrder]
+	calls   streams[dispatcher.Stream, *encoder.QueueReplies]
+	attends streams[dispatcher.Stream, *encoder.QueueOrder]
 
 	mutex   sync.Mutex
 	welcome *encoder.QueueWelcome
--- a/controller/server/registry.go
+++ b/controller/server/registry.go
@@ -23,8 +23,8 @@
 	mailbox  *mailer.Mailbox[driver.Event]
 	security *authenticator.Authenticator
 	last     atomic.Uint64
-	propose  streams[*encoder.Verdict]
-	attend   streams[specifier.Update]
+	propose  streams[sequencer.Stream, *encoder.Verdict]
+	attend   streams[sequencer.Stream, specifier.Update]
 }
 
 // Propose carries commands to the log and their decisions back.
--- a/controller/server/streams.go
+++ b/controller/server/streams.go
@@ -3,35 +3,34 @@
 import (
 	"sync"
 
-	"oleandertally/controller/sequencer"
 	"oleandertally/core/mailer"
 )
 
-// streams maps open streams to the queues of their sending goroutines.
-type streams[T any] struct {
+// streams maps open streams, by the number that the control goroutine knows, to the queues of their sending goroutines.
+type streams[K comparable, T any] struct {
 	mutex sync.Mutex
-	boxes map[sequencer.Stream]*mailer.Outbox[T]
+	boxes map[K]*mailer.Outbox[T]
 }
 
-func (s *streams[T]) open(id sequencer.Stream) *mailer.Outbox[T] {
+func (s *streams[K, T]) open(id K) *mailer.Outbox[T] {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.boxes == nil {
-		s.boxes = make(map[sequencer.Stream]*mailer.Outbox[T])
+		s.boxes = make(map[K]*mailer.Outbox[T])
 	}
 	box := mailer.NewOutbox[T]()
 	s.boxes[id] = box
 	return box
 }
 
-func (s *streams[T]) close(id sequencer.Stream) {
+func (s *streams[K, T]) close(id K) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.boxes, id)
 }
 
 // put queues item for the stream, if it is still open.
-func (s *streams[T]) put(id sequencer.Stream, item T) {
+func (s *streams[K, T]) put(id K, item T) {
 	s.mutex.Lock()
 	box := s.boxes[id]
 	s.mutex.Unlock()
@@ -39,3 +38,12 @@
 		box.Put(item)
 	}
 }
+
+// all queues item for every open stream.
+func (s *streams[K, T]) all(item T) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, box := range s.boxes {
+		box.Put(item)
+	}
+}
--- a/core/seeker/seeker.go
+++ b/core/seeker/seeker.go
@@ -116,7 +116,7 @@
 // session runs one stream. Every session has a connection of its own: a connection can go silent while new ones work.
 func (s *Seeker[In, Out]) session(ctx context.Context, addr netip.AddrPort) error {
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), grpc.WithTransportCredentials(s.Credentials),
-		grpc.WithContextDialer(dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
+		grpc.WithContextDialer(dialer(addr)), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
 	if err != nil {
 		return errors.Wrapf(err, "seeker: connect to %s", addr)
 	}
@@ -208,14 +208,17 @@
 	}
 }
 
-// dial opens a connection that fails soon after the other side stops to acknowledge.
-func dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: answerWithin, Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
-		})
-		return errors.CombineErrors(err, failed)
-	}}
-	return dialer.DialContext(ctx, "tcp", addr)
+// dialer opens connections to one controller that fail soon after the other side stops to acknowledge. The text that gRPC passes is the
+// same address.
+func dialer(addr netip.AddrPort) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, _ string) (net.Conn, error) {
+		dialer := net.Dialer{Timeout: answerWithin, Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
+			})
+			return errors.CombineErrors(err, failed)
+		}}
+		return dialer.DialContext(ctx, "tcp", addr.String())
+	}
 }
