Leave a controller that leaves proposals undecided

Cause: the stream of proposals was opened with a context that ends only after both of its goroutines have. When a controller was silent for two seconds the sender gave up, and the receiver went on waiting on the open stream, so the session never ended and the entry never asked another controller: all its jobs were answered 'did not decide in time' from then on. This is the rare failure of TestDrainAnswersJobsInFlight. That a controller is silent for 2 s on such a machine was not traced further; the entry now goes on after it. Ruled out: lost wake-ups of the sender and lost proposals in the sequencer, by reading.

Change: the sender ends the stream when it gives up, and the end of a stream is logged. TestSilentController (new) fails without it. A warm-up that fails prints the time line.

Also: BenchmarkEnds fills the workers before it measures.

--- a/controller/dispatcher/bench_test.go
+++ b/controller/dispatcher/bench_test.go
@@ -20,7 +20,7 @@
 			step(Led{Term: 1})
 			step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{
 				{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}}}}})
-			var running []RunAt
+			var running []runAt
 			take := func(actions []Action) {
 				for _, action := range actions {
 					switch action := action.(type) {
@@ -28,7 +28,7 @@
 						step(Applied(action))
 					case Order:
 						for _, start := range action.Order.Starts {
-							running = append(running, RunAt{action.Stream, start.Key})
+							running = append(running, runAt{action.Stream, start.Key})
 						}
 					}
 				}
@@ -44,13 +44,16 @@
 				}
 			}
 			jobs, numbers := 0, make(map[Stream]uint64)
-			b.ResetTimer()
-			for i := range b.N {
+			fill := func() {
 				for len(d.ready.list) < 200 {
 					jobs++
 					take(step(Called{Stream: caller, Sequence: uint64(jobs), Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: fmt.Sprintf("/q/%d", jobs),
 						Job: specifier.QueuedJob{Transient: true, Steps: []specifier.Step{{Count: 4, Room: specifier.Room{MilliCores: 1400 + jobs%400, Memory: 64}, Estimate: 100 * time.Millisecond}}}}}))
 				}
+			}
+			fill()
+			for i := 0; b.Loop(); i++ {
+				fill()
 				at := running[0]
 				running = running[1:]
 				numbers[at.stream]++
@@ -71,8 +74,8 @@
 	}
 }
 
-// RunAt is a run at the agent of a stream.
-type RunAt struct {
+// runAt is a run at the agent of a stream.
+type runAt struct {
 	stream Stream
 	key    specifier.RunKey
 }
--- a/entry/linker/proposer.go
+++ b/entry/linker/proposer.go
@@ -83,7 +83,7 @@
 			addr = p.Controllers[next]
 		}
 		if err != nil && ctx.Err() == nil {
-			p.Log.Debug().Err(err).Str("Peer", addr.String()).Msg("proposal stream ended")
+			p.Log.Info().Str("Event", "ProposalStreamEnded").Err(err).Stringer("Next", addr).Msg("proposals go to another controller")
 		}
 		mailer.Pause(ctx, time.Duration(rand.Int64N(int64(redialBound))))
 	}
@@ -104,7 +104,10 @@
 	p.resend()
 	answers := make(chan struct{}, 1)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.send(ctx, stream, answers) })
+	group.Go(func() error {
+		defer cancel() // the stream does not end with the group, and receive would wait for a silent controller
+		return p.send(ctx, stream, answers)
+	})
 	group.Go(func() error {
 		var err error
 		leader, err = p.receive(ctx, stream, answers)
--- /dev/null
+++ b/entry/linker/proposer_test.go
@@ -0,0 +1,84 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"oleandertally/core/dialer"
+	"oleandertally/core/encoder"
+	"oleandertally/core/mailer"
+	"oleandertally/core/specifier"
+	"oleandertally/entry/coordinator"
+)
+
+// testBound ends a test whose decision never comes.
+const testBound = 30 * time.Second
+
+// registry is a controller that decides every proposal, or none.
+type registry struct {
+	encoder.UnimplementedRegistryServer
+
+	silent bool
+}
+
+func (r *registry) Propose(stream encoder.Registry_ProposeServer) error {
+	for {
+		proposals, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if r.silent {
+			continue
+		}
+		verdicts := &encoder.Verdicts{}
+		for _, item := range proposals.Items {
+			verdicts.Items = append(verdicts.Items, &encoder.Verdict{Sequence: item.Sequence,
+				Decision: encoder.EncodeDecision(specifier.Decision{Verdict: specifier.Applied})})
+		}
+		if err := stream.Send(verdicts); err != nil {
+			return err
+		}
+	}
+}
+
+// serve runs a controller and returns its address.
+func serve(t *testing.T, group *errgroup.Group, r *registry) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := grpc.NewServer()
+	encoder.RegisterRegistryServer(server, r)
+	group.Go(func() error { return server.Serve(listener) })
+	t.Cleanup(server.Stop)
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against an entry that waits for good for a controller that leaves its proposals undecided: the stream stays open, and
+// the entry must leave it.
+func TestSilentController(t *testing.T) {
+	var servers errgroup.Group
+	controllers := []netip.AddrPort{serve(t, &servers, &registry{silent: true}), serve(t, &servers, &registry{})}
+	pool := &dialer.Pool{Credentials: insecure.NewCredentials()}
+	t.Cleanup(func() { pool.Close() })
+	p := NewProposer()
+	p.Controllers, p.Pool, p.Sink, p.Log = controllers, pool, mailer.NewMailbox[coordinator.Event](16), zerolog.Nop()
+	ctx, cancel := context.WithTimeout(t.Context(), testBound)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return p.Run(ctx) })
+	p.Propose(specifier.DrainMember{Name: "worker-01"})
+	event, err := p.Sink.Receive(ctx)
+	must.NoError(t, err)
+	must.Eq(t, specifier.Applied, event.(coordinator.Decided).Decision.Verdict)
+	cancel()
+	must.ErrorIs(t, group.Wait(), context.Canceled)
+}
--- a/local/assembler/drain_test.go
+++ b/local/assembler/drain_test.go
@@ -38,7 +38,7 @@
 	site := startSite(t, starts)
 	sender := &submitter.Submitter{Client: &http.Client{Transport: &http.Transport{}}, Entries: []netip.AddrPort{site.Layout.Entry(0), site.Layout.Entry(1)}}
 	for entry := range site.Entries {
-		awaitService(t, sender, entry)
+		awaitService(t, site, sender, entry)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), stopBound)
 	defer cancel()
--- a/local/assembler/stop_test.go
+++ b/local/assembler/stop_test.go
@@ -143,7 +143,7 @@
 	b := &burst{sender: &submitter.Submitter{Client: client, Entries: []netip.AddrPort{site.Layout.Entry(0), site.Layout.Entry(1)}},
 		starts: starts, third: make(chan struct{})}
 	for entry := range site.Entries {
-		awaitService(t, b.sender, entry)
+		awaitService(t, site, b.sender, entry)
 	}
 	b.moved.Add(callers)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*stopBound)
@@ -202,7 +202,7 @@
 }
 
 // awaitService returns when the entry has the configuration and the workers.
-func awaitService(t *testing.T, sender *submitter.Submitter, entry int) {
+func awaitService(t *testing.T, site *Site, sender *submitter.Submitter, entry int) {
 	t.Helper()
 	attempt := 0
 	complete := func() bool {
@@ -210,5 +210,6 @@
 		job := tracer.Job{Entry: entry, Team: "web", Profile: "hold", TimeLeftMillis: 2000, RunMillis: []int{1}}
 		return sender.Submit(t.Context(), job, fmt.Sprintf("warm-%d-%d", entry, attempt)).Response.Outcome == specifier.Complete
 	}
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(complete), wait.Timeout(stopBound), wait.Gap(20*time.Millisecond)))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(complete), wait.Timeout(stopBound), wait.Gap(20*time.Millisecond)),
+		must.Func(func() string { return story(site) }))
 }
