End the hand-over of a controller that has ended

Cause: after a fault of the disk the control loop ends, and the planned stop that follows asked it again and again to hand over, until the time of the stop was over: 5.6 s without this controller, and an exit as cut off. Ruled out: a voter that does not catch up; the parts still running were all but the controller.

Change: HandOver returns an error once Run has returned. TestSyncFails 'the stop ends at once' took the whole 20 s before.

--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -76,6 +76,7 @@
 	handOvers     *calls[driver.HandedOver]
 	measures      *calls[driver.Measured]
 	fault         chan error
+	ended         chan struct{} // closed when Run has returned
 	recovered     recovery
 	machine       *driver.Driver
 	listener      net.Listener
@@ -137,7 +138,7 @@
 	c.handOvers = &calls[driver.HandedOver]{mailbox: c.mailbox}
 	c.measures = &calls[driver.Measured]{mailbox: c.mailbox}
 	c.operators = &operators{decisions: calls[specifier.Decision]{mailbox: c.mailbox}, reads: calls[driver.ReadAnswered]{mailbox: c.mailbox}}
-	c.fault = make(chan error, 1)
+	c.fault, c.ended = make(chan error, 1), make(chan struct{})
 	var err error
 	if c.disk, c.recovered, err = c.openDisk(); err != nil {
 		return errors.Wrapf(err, "controller: DataFolder %s", c.DataFolder)
@@ -172,6 +173,7 @@
 			return err
 		}
 	}
+	defer close(c.ended)
 	return errors.CombineErrors(c.serve(ctx), c.disk.close())
 }
 
--- a/controller/server/faults_test.go
+++ b/controller/server/faults_test.go
@@ -179,6 +179,12 @@
 	must.Error(t, err)
 	must.ErrorIs(t, c.running[0].group.Wait(), journaler.ErrFailed)
 	must.True(t, errors.Is(c.running[0].group.Wait(), errDisk))
+	t.Run("the stop ends at once", func(t *testing.T) { // guards against a process that waits for an answer of its own ended control loop
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		must.ErrorContains(t, c.running[0].HandOver(ctx), "has ended")
+		must.NoError(t, ctx.Err())
+	})
 }
 
 // assertAccepted checks that every submission is still recorded as accepted: another digest under its key conflicts.
--- a/controller/server/stop.go
+++ b/controller/server/stop.go
@@ -19,7 +19,7 @@
 // an error when no other voter can take it; stopping is safe then too, but the others elect a leader
 // only after the election timeout.
 func (c *Controller) HandOver(ctx context.Context) error {
-	for {
+	for !c.hasEnded() {
 		answer, err := c.handOverOnce(ctx)
 		switch {
 		case err == nil && answer.Detail == "":
@@ -30,6 +30,17 @@
 			return err
 		}
 	}
+	return errors.New("controller: this controller has ended")
+}
+
+// hasEnded reports whether Run has returned, as it does after a fault of the disk: then there is nothing to hand over.
+func (c *Controller) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // handOverOnce gives up after two election timeouts: a transfer to a voter that does not catch up within one
