Let a run that is being stopped be claimed until its end is listed

Cause: a run that no job claims was forgotten by name when its stop was sent, and so was that of an abandoned job. A caller that came back within the time of the stop (an order to the agent, a call to the worker and up to 50 ms) got a second run of the task beside the first.

Change: the run stays claimable; a job that claims it waits for its end and goes on. TestAbandonedJobComesBack and 'claimed while it is being stopped' fail without it.

--- a/controller/dispatcher/desk_test.go
+++ b/controller/dispatcher/desk_test.go
@@ -19,12 +19,14 @@
 	leading bool
 	renewal uint64
 	actions []Action
+	// estimate is that of the tasks that are submitted.
+	estimate time.Duration
 }
 
 const caller = Stream(1000)
 
 func newDesk(t *testing.T, agents int) *desk {
-	b := &desk{t: t, now: time.Unix(1000, 0), leading: true}
+	b := &desk{t: t, now: time.Unix(1000, 0), leading: true, estimate: 100 * time.Millisecond}
 	b.d = &Dispatcher{Keeper: keeper.New(time.Minute), Settings: Defaults(), Leading: func(time.Time) bool { return b.leading }, Open: func() bool { return true }}
 	b.step(Led{Term: 1})
 	b.step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{
@@ -73,7 +75,7 @@
 
 func (b *desk) submit(id string, count int, transient bool) {
 	b.step(Called{Stream: caller, Sequence: uint64(len(id)), Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: "/q/" + id,
-		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{{Count: count, Room: specifier.Room{MilliCores: 1000, Memory: 1}, Estimate: 100 * time.Millisecond}}}}})
+		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{{Count: count, Room: specifier.Room{MilliCores: 1000, Memory: 1}, Estimate: b.estimate}}}}})
 }
 
 func (b *desk) starts() []specifier.RunStart {
--- a/controller/dispatcher/orphan_test.go
+++ b/controller/dispatcher/orphan_test.go
@@ -29,6 +29,28 @@
 	return keys
 }
 
+// Guards against a second run of a task whose caller comes back just when its abandoned job is forgotten.
+func TestAbandonedJobComesBack(t *testing.T) {
+	b := newDesk(t, 2)
+	b.estimate = time.Minute // or the run would be stopped because it stands still
+	b.submit("a", 1, true)
+	key := b.starts()[0].Key
+	b.step(Called{Stream: caller, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.AbandonQueued}})
+	until := b.now.Add(b.d.Settings.KeepAfter)
+	for b.now.Before(until.Add(-time.Second)) {
+		b.now = b.now.Add(time.Second)
+		b.report(1, nil)
+		b.report(2, nil)
+		must.SliceEmpty(t, b.stops())
+	}
+	b.advance(until.Sub(b.now))
+	must.Eq(t, []specifier.RunKey{key}, b.stops())
+	b.report(1, nil)
+	b.report(2, nil)
+	b.submit("a", 1, true)
+	must.SliceEmpty(t, b.starts())
+}
+
 func TestRunsThatNoJobClaims(t *testing.T) {
 	t.Run("of unknown room", func(t *testing.T) { // guards against a worker that stands idle beside one run
 		b := newDesk(t, 1)
@@ -61,6 +83,20 @@
 		b.advance(b.d.Settings.BlockedAfter)
 		must.SliceEmpty(t, b.stops())
 	})
+	t.Run("claimed while it is being stopped", func(t *testing.T) { // guards against a second run beside one whose stop has not arrived
+		b := newDesk(t, 2)
+		key := found(b, specifier.Room{})
+		b.attach(2)
+		b.advance(b.d.Settings.BlockedAfter)
+		must.Eq(t, []specifier.RunKey{key}, b.stops())
+		b.submit("gone", 1, true)
+		must.SliceEmpty(t, b.starts())
+		b.reportEnd(1, key, specifier.EndStopped)
+		b.report(1, nil)
+		must.SliceLen(t, 1, b.d.jobs["gone"].tasks[0])
+		must.Eq(t, taskPlaced, b.d.jobs["gone"].tasks[0][0].state)
+		must.NotEq(t, key, b.d.jobs["gone"].tasks[0][0].run.key)
+	})
 	t.Run("claimed, and its room is known", func(t *testing.T) { // guards against a worker that stands idle beside a run of known room
 		b := newDesk(t, 1)
 		found(b, specifier.Room{})
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -166,8 +166,7 @@
 		return
 	}
 	if r.task == nil {
-		delete(d.orphans, r.key.Task)
-		d.stop(r)
+		d.stop(r) // it can still be claimed until its end is listed: a second run must not start before
 		return
 	}
 	if r.holder.health.eject(d.now) {
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -158,6 +158,17 @@
 	return "Cancelled"
 }
 
+// releaseRuns stops the runs of a job that is forgotten. A resubmission can claim them until their ends are listed.
+func (d *Dispatcher) releaseRuns(j *job) {
+	j.all(func(t *task) {
+		if r := t.run; r != nil {
+			t.run, r.task = nil, nil
+			d.orphans[t.name] = r
+			d.stop(r)
+		}
+	})
+}
+
 // stopJob takes a job's tasks off the workers.
 func (d *Dispatcher) stopJob(j *job) {
 	j.all(func(t *task) {
@@ -180,8 +191,8 @@
 	}
 	if !j.forgetAt.IsZero() && !d.now.Before(j.forgetAt) {
 		if !j.ended {
-			d.stopJob(j)
 			j.ended = true
+			d.releaseRuns(j)
 		}
 		delete(d.jobs, j.ID)
 	}
