--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,8 +25,10 @@
 type verdict string
 
 var cases = map[string]func(s *site, trouble bool) (verdict, error){
+	"blocked":   blockedCase,
 	"cancel":    cancelCase,
 	"failed":    failedCase,
+	"large":     largeCase,
 	"oddpath":   oddPathCase,
 	"oddreport": oddReportCase,
 	"refused":   refusedCase,
