--- a/review/harness/ends.go
+++ b/review/harness/ends.go
@@ -54,14 +54,15 @@
 	return ids, nil
 }
 
-// submitMany submits the jobs, whose tasks all run on the last worker.
+// submitMany submits the jobs. The tasks of their first steps all run on the last worker; the second step is a single task.
 func submitMany(s *site) ([]string, error) {
-	step := map[string]any{"count": manyWidth, "cpu": 50, "memoryRequestMb": 16, "estimatedMs": manySpan.Milliseconds(), "requirements": otherLabel}
+	first := map[string]any{"count": manyWidth, "cpu": 50, "memoryRequestMb": 16, "estimatedMs": manySpan.Milliseconds(), "requirements": otherLabel}
+	second := map[string]any{"count": 1, "cpu": 1000, "memoryRequestMb": 64, "estimatedMs": manySpan.Milliseconds(), "after": []int{0}}
 	var ids []string
 	for range manyJobs {
 		time.Sleep(25 * time.Millisecond)
 		id := newID()
-		if err := s.submit(queuePrefix, id, work{Ms: int(manySpan.Milliseconds())}, []map[string]any{step}); err != nil {
+		if err := s.submit(queuePrefix, id, work{Ms: int(manySpan.Milliseconds())}, []map[string]any{first, second}); err != nil {
 			return nil, err
 		}
 		ids = append(ids, id)
@@ -103,15 +104,21 @@
 			}
 		}
 	}
-	open := 0
+	open, waiting := 0, 0
 	for _, id := range ids {
 		if s.call(http.MethodGet, s.entryAddr(0), queuePrefix+id, nil, clientDeadline).state() != "completed" {
 			open++
+			if s.ended(id, manyWidth) && !s.started(id+".0.1.0") {
+				waiting++
+			}
 		}
 	}
-	if idle := time.Since(idleSince); open > 0 && idle > contact {
-		return verdict(fmt.Sprintf("%d of %d accepted jobs are not completed %.0f s after their tasks have ended, and for %.1f s no task of theirs has been at work; all workers are idle",
-			open, manyJobs, (finishBound + 2*contact).Seconds(), idle.Seconds())), nil
+	if idle := time.Since(idleSince); waiting > 0 && idle > contact {
+		return verdict(fmt.Sprintf("%d of %d accepted jobs are not completed; in %d of these all tasks of the first step have ended as done and the second step has not started; "+
+			"for %.1f s nothing has been at work on any worker, %.0f s after the last disruption", open, manyJobs, waiting, idle.Seconds(), (finishBound + 2*contact).Seconds())), nil
+	}
+	if open > 0 {
+		return "", fmt.Errorf("%d jobs are not completed, and none of them waits for its second step", open)
 	}
 	return "", nil
 }
--- a/review/harness/history.go
+++ b/review/harness/history.go
@@ -54,3 +54,22 @@
 	}
 	h.noted = true
 }
+
+// started reports whether a run of the task has started.
+func (s *site) started(task string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tasks[task] != nil
+}
+
+// ended reports whether each task of the job's first step has a run that ended as done.
+func (s *site) ended(id string, count int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for index := range count {
+		if h := s.tasks[fmt.Sprintf("%s.0.0.%d", id, index)]; h == nil || !h.done {
+			return false
+		}
+	}
+	return true
+}
