Let no denial stand for a call that an earlier leader may have handled

Cause: an entry sends calls without a reply again when its stream to the leader ends. The next leader looks the path up in the newest manifest and does not know what the earlier one did. Only QueueRefused was translated into "may have run"; QueueNotFound and QueueInvalid were passed on, for jobs and for cancellations.

Evidence: TestDenialAfterALostStream fails without the change for a removed queue, for a path that a shorter prefix has taken over, and for a cancellation. A stream that is reset without a new leader takes the same path.

Change: QueueResult.DeniesEffect names the results that deny an effect; none of them stands once a stream has ended while a call that submits or cancels was in flight. The caller gets 504, and the detail tells that the reply came from a later leader. Queries have no effect and keep their replies.

--- a/core/specifier/queueresult.go
+++ b/core/specifier/queueresult.go
@@ -11,5 +11,10 @@
 	JobNotFound               // there is no such job
 	QueueInvalid
 	QueueUnavailable // the controller cannot answer now
-	QueueExpired     // the job was abandoned; parts of it may have run
+	QueueExpired     // the job was abandoned, or an earlier controller may have handled the call; parts of the job may have run
 )
+
+// DeniesEffect reports whether the result states that the call had no effect. Only the first controller that handles a call can know this.
+func (r QueueResult) DeniesEffect() bool {
+	return r == QueueRefused || r == QueueNotFound || r == QueueInvalid
+}
--- a/entry/requester/machine.go
+++ b/entry/requester/machine.go
@@ -164,11 +164,7 @@
 		call.retryAt = now.Add(retryDelay)
 		return
 	}
-	if decoded.Result == specifier.QueueRefused && call.maybeHandled {
-		// The refusing controller does not know whether an earlier one started the job.
-		decoded.Result = specifier.QueueExpired
-	}
-	m.finish(call, answer{reply: decoded})
+	m.finish(call, answer{reply: call.outcome(decoded)})
 }
 
 func (m *machine) finish(call *pending, outcome answer) {
--- a/entry/requester/machine_test.go
+++ b/entry/requester/machine_test.go
@@ -101,6 +101,37 @@
 	})
 }
 
+// TestDenialAfterALostStream guards against telling a caller that its call had no effect because the next leader denies it: the manifest
+// may have changed since a former leader started the job or cancelled it.
+func TestDenialAfterALostStream(t *testing.T) {
+	for _, each := range []struct {
+		name    string
+		verb    specifier.QueueVerb
+		lost    bool // the stream ends before the reply
+		replied specifier.QueueResult
+		want    specifier.QueueResult
+	}{
+		{"a job whose queue was removed", specifier.SubmitQueued, true, specifier.QueueNotFound, specifier.QueueExpired},
+		{"a job whose path a shorter prefix has taken over", specifier.SubmitQueued, true, specifier.QueueInvalid, specifier.QueueExpired},
+		{"a cancellation whose queue was removed", specifier.CancelQueued, true, specifier.QueueNotFound, specifier.QueueExpired},
+		{"a first denial of a job stands", specifier.SubmitQueued, false, specifier.QueueNotFound, specifier.QueueNotFound},
+		{"a job that is gone is gone", specifier.CancelQueued, true, specifier.JobNotFound, specifier.JobNotFound},
+		{"a query has no effect", specifier.QueryQueued, true, specifier.QueueNotFound, specifier.QueueNotFound},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.connect()
+			call := f.call(each.verb)
+			if each.lost {
+				f.step(disconnected{})
+				f.connect()
+			}
+			f.reply(1, each.replied)
+			f.mustAnswer(call, each.want, nil)
+		})
+	}
+}
+
 // TestDeadline guards against reporting "not run" at the deadline for a call that a controller may have handled.
 func TestDeadline(t *testing.T) {
 	t.Run("unsent", func(t *testing.T) {
--- a/entry/requester/pending.go
+++ b/entry/requester/pending.go
@@ -18,3 +18,17 @@
 	inFlight     bool      // sent on the current stream and not answered
 	retryAt      time.Time // when to resend the call after a controller could not handle it; zero if not scheduled
 }
+
+// changesJobs reports whether the call starts or cancels a job.
+func (p *pending) changesJobs() bool {
+	return p.call.Verb == specifier.SubmitQueued || p.call.Verb == specifier.CancelQueued
+}
+
+// outcome returns the reply that the caller gets. The controller that replies does not know what an earlier one has done, and its manifest
+// may be another one, so its denial does not stand when an earlier one may have handled the call.
+func (p *pending) outcome(reply specifier.QueueReply) specifier.QueueReply {
+	if !p.maybeHandled || !p.changesJobs() || !reply.Result.DeniesEffect() {
+		return reply
+	}
+	return specifier.QueueReply{Result: specifier.QueueExpired, Detail: "an earlier leader may have handled the call; the present one replied: " + reply.Detail}
+}
