Repeat the stop of a run that its agent lists without stopping it

Cause: the leader sent a stop once and marked the run. An order to an agent without a stream was dropped, one on a stream that broke was lost, and a run that was listed again afterwards was left alone because of the mark.

TestListedRunIsBeingStopped fails without the agent's part.

Change: agents list which runs they are stopping (field Stopping of QueueRun). With each complete list the leader orders again the stops that the agent does not know of, unless an order that it has not received yet carries them. Starts were already derived from the lists. The log event StopsRepeated counts them.

--- a/agent/leaseholder/leaseholder_test.go
+++ b/agent/leaseholder/leaseholder_test.go
@@ -146,3 +146,22 @@
 	must.Greater(t, before, f.holder.workerToken())
 	must.False(t, f.holder.allRunsKnown())
 }
+
+// TestListedRunIsBeingStopped guards against a leader that can't tell an order to stop a run that was lost from one that is being carried out.
+func TestListedRunIsBeingStopped(t *testing.T) {
+	listed := func(f *fixture) specifier.LeasedRun {
+		f.now = f.now.Add(renewInterval)
+		f.actions = f.holder.Expire(f.now)
+		reports := find[Report](f.actions)
+		must.SliceLen(t, 1, reports)
+		must.SliceLen(t, 1, reports[0].Report.Runs)
+		return reports[0].Report.Runs[0]
+	}
+	f := newFixture(t)
+	f.order(1)
+	f.step(Started{Answer: f.answer(), Key: key(1)})
+	must.False(t, listed(f).Stopping)
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 1, OrderCount: 2, Stops: []specifier.RunKey{key(1)}}})
+	must.SliceLen(t, 1, find[Stop](f.actions))
+	must.True(t, listed(f).Stopping)
+}
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -23,7 +23,7 @@
 	report := specifier.LeaseReport{Renewal: l.renewal, RunsComplete: true}
 	for _, run := range l.sorted() {
 		listed := run.LeasedRun
-		listed.Starting = run.state != runRunning
+		listed.Starting, listed.Stopping = run.state != runRunning, run.stopping
 		report.Runs = append(report.Runs, listed)
 	}
 	report.Ends = l.ends // a new leader may not have received them
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -142,9 +142,15 @@
 		return
 	}
 	r.stopping = true
+	d.orderStop(r)
+	d.emit(LogEvent{Event: "RunStopped", Task: r.key.Task, Run: r.key.Run, Agent: r.agent.name})
+}
+
+// orderStop adds the stop of a run to the order to its agent.
+func (d *Dispatcher) orderStop(r *run) {
 	order := d.countedOrder(r.agent)
 	order.Stops = append(order.Stops, r.key)
-	d.emit(LogEvent{Event: "RunStopped", Task: r.key.Task, Run: r.key.Run, Agent: r.agent.name})
+	r.stopOrder = r.agent.orderCount
 }
 
 const (
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -84,7 +84,7 @@
 	}
 	a.stream, a.incarnation, a.listed = stream, report.Incarnation, false
 	for _, r := range a.runs {
-		r.order = 0 // an order on an earlier stream has either arrived or never will
+		r.order, r.stopOrder = 0, 0 // an order on an earlier stream has either arrived or never will
 	}
 	d.streams[stream] = a
 	d.emit(LogEvent{Event: "AgentAttached", Agent: a.name})
@@ -155,15 +155,25 @@
 		lastOrder = 0 // the agent counted orders of an earlier leader, or of this one in an earlier term
 	}
 	listed := make(map[specifier.RunKey]bool, len(report.Runs))
+	lostStops := 0
 	for _, each := range report.Runs {
 		listed[each.Key] = true
-		if known := a.runs[each.Key]; known != nil {
-			if known.task != nil && each.Checkpoint != "" {
-				known.task.checkpoint = each.Checkpoint
-			}
+		known := a.runs[each.Key]
+		if known == nil {
+			d.addListedRun(a, each)
 			continue
 		}
-		d.addListedRun(a, each)
+		if known.task != nil && each.Checkpoint != "" {
+			known.task.checkpoint = each.Checkpoint
+		}
+		if known.stopping && !each.Stopping && known.stopOrder <= lastOrder {
+			// The order was lost with its stream, or arrived at an agent process that did not know the run yet or has ended since.
+			d.orderStop(known)
+			lostStops++
+		}
+	}
+	if lostStops > 0 {
+		d.emit(LogEvent{Event: "StopsRepeated", Agent: a.name, Count: lostStops})
 	}
 	for _, r := range a.sortedRuns() {
 		if a.settled && !listed[r.key] && r.order <= lastOrder {
--- a/controller/dispatcher/run.go
+++ b/controller/dispatcher/run.go
@@ -18,6 +18,7 @@
 	startedAt time.Time
 	checkAt   time.Time // when it has been unclaimed for too long or is considered stalled
 	stopping  bool
+	stopOrder uint64 // count of the last order to stop it; 0 when the agent has reconnected since
 }
 
 // count counts the run's cores as used by a kind, instead of the one before; nil for none.
--- a/core/encoder/leasereport.go
+++ b/core/encoder/leasereport.go
@@ -15,7 +15,7 @@
 			Labels: worker.Labels, Draining: worker.Draining}
 	}
 	for _, run := range report.Runs {
-		m.Runs = append(m.Runs, &QueueRun{Task: run.Key.Task, Run: run.Key.Run, Saved: run.Checkpoint, Room: EncodeResources(run.Resources), Starting: run.Starting})
+		m.Runs = append(m.Runs, &QueueRun{Task: run.Key.Task, Run: run.Key.Run, Saved: run.Checkpoint, Room: EncodeResources(run.Resources), Starting: run.Starting, Stopping: run.Stopping})
 	}
 	return m
 }
@@ -30,7 +30,7 @@
 	}
 	for _, run := range m.Runs {
 		report.Runs = append(report.Runs, specifier.LeasedRun{Key: specifier.RunKey{Task: run.Task, Run: run.Run}, Checkpoint: run.Saved,
-			Resources: DecodeResources(run.Room), Starting: run.Starting})
+			Resources: DecodeResources(run.Room), Starting: run.Starting, Stopping: run.Stopping})
 	}
 	return report
 }
--- a/core/specifier/leasedrun.go
+++ b/core/specifier/leasedrun.go
@@ -6,4 +6,5 @@
 	Checkpoint string    // newest one
 	Resources  Resources // zero when the agent does not know them
 	Starting   bool      // the worker has not confirmed the start
+	Stopping   bool      // the agent is stopping it
 }
