Stop the runs of ended jobs at once under a new leader

On the path of the lost stops: a run of a job that was cancelled, completed or had failed, recorded so, went on under a new leader until all agents had listed their runs (up to 1.35 s) and then for OrphanAfter (1.8 s), as if a caller could still claim it.

Cause: during recovery every run without a task was kept for a resubmission, also those of recorded jobs, which the record shows as ended.

Change: such a run is stopped when it is listed. Runs of transient jobs are kept as before. TestRunOfAJobThatEndedUnderAnEarlierLeader fails without the change.

--- a/controller/dispatcher/loststop_test.go
+++ b/controller/dispatcher/loststop_test.go
@@ -106,3 +106,24 @@
 		})
 	}
 }
+
+// Guards against a run of a job that was cancelled under an earlier leader and goes on, while the next one waits for all agents and then for
+// a caller that resubmits the job.
+func TestRunOfAJobThatEndedUnderAnEarlierLeader(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("a", 1, false)
+	key := f.starts()[0].Key
+	at := 1
+	if len(f.d.agents[agentName(2)].runs) > 0 {
+		at = 2
+	}
+	f.step(AgentDisconnected{Stream: Stream(at)})
+	f.cancel("a")
+	f.step(BecameFollower{})
+	f.step(BecameLeader{Term: 2})
+	f.report(at, func(report *specifier.LeaseReport) {
+		report.Runs = []specifier.LeasedRun{{Key: key, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}}}
+	})
+	must.False(t, f.d.recoveryUntil.IsZero())
+	must.Eq(t, []specifier.RunKey{key}, f.stops())
+}
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -186,7 +186,7 @@
 // as an orphan.
 func (d *Dispatcher) addListedRun(a *agent, listed specifier.LeasedRun) {
 	r := &run{key: listed.Key, agent: a, resources: listed.Resources, startedAt: d.now}
-	t := d.task(listed.Key.Task)
+	t, recorded := d.task(listed.Key.Task), d.Recorder.Job(jobOf(listed.Key.Task)) != nil
 	if r.resources == (specifier.Resources{}) && t != nil {
 		r.resources = t.step().Resources
 	}
@@ -194,9 +194,9 @@
 	switch {
 	case t != nil && (t.state == taskReady || t.state == taskBlocked) && !d.recoveryUntil.IsZero():
 		d.adopt(t, r)
-	case t != nil || d.recoveryUntil.IsZero():
+	case t != nil || recorded || d.recoveryUntil.IsZero():
 		// The task is done, runs elsewhere or may be started elsewhere at any moment, or its job has ended.
-		if other := d.orphans[r.key.Task]; t == nil && other == nil && d.Recorder.Job(jobOf(r.key.Task)) == nil {
+		if other := d.orphans[r.key.Task]; t == nil && other == nil && !recorded {
 			d.orphans[r.key.Task] = r
 			d.scheduleOrphanCheck(r)
 			return
