Schedules in which running jobs are cancelled

TestCancelledJobsStop plays random schedules with the real dispatcher and lease holders: agents restart or become unreachable and leaders are deposed around each cancellation.

--- a/local/simulator/fakecaller_test.go
+++ b/local/simulator/fakecaller_test.go
@@ -12,6 +12,7 @@
 	world      *world
 	id         string
 	transient  bool
+	runTime    time.Duration // of each of its tasks; 0 for a random time
 	stream     dispatcher.Stream
 	leader     *fakeLeader
 	term       uint64
@@ -25,6 +26,24 @@
 	startedAt  time.Time
 }
 
+// estimate returns the estimated run time of the caller's tasks.
+func (c *fakeCaller) estimate() time.Duration {
+	if c.runTime > 0 {
+		return c.runTime
+	}
+	return 250 * time.Millisecond
+}
+
+// runTimeOf returns how long a run of a job takes.
+func (w *world) runTimeOf(id string) time.Duration {
+	for _, caller := range w.callers {
+		if caller.id == id && caller.runTime > 0 {
+			return caller.runTime
+		}
+	}
+	return w.runTime()
+}
+
 // isRecorded reports whether the replicated log records the job, which is so unless it is transient.
 func (w *world) isRecorded(id string) bool {
 	for _, caller := range w.callers {
@@ -63,8 +82,8 @@
 		w.after(w.randomDuration(time.Millisecond, 4*time.Millisecond), func() {
 			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: queueHost, Path: queuePrefix + c.id,
 				TimeLeft: callerTimeLeft, Age: w.now.Sub(c.startedAt), Resubmitted: sentBefore, Job: specifier.QueuedJob{Transient: c.transient, Content: c.id,
-					Steps: []specifier.Step{{Count: 3, Resources: specifier.Resources{MilliCores: 1500, Memory: 1}, Estimate: 250 * time.Millisecond},
-						{Count: 1, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}, Estimate: 250 * time.Millisecond, After: []int{0}}}}}})
+					Steps: []specifier.Step{{Count: 3, Resources: specifier.Resources{MilliCores: 1500, Memory: 1}, Estimate: c.estimate()},
+						{Count: 1, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}, Estimate: c.estimate(), After: []int{0}}}}}})
 		})
 	}
 	w.after(resendInterval, c.submit)
--- a/local/simulator/fakeleader_test.go
+++ b/local/simulator/fakeleader_test.go
@@ -54,6 +54,9 @@
 			for _, caller := range w.callers {
 				caller.handleReply(l, action)
 			}
+			for _, canceller := range w.cancellers {
+				canceller.handleReply(l, action)
+			}
 		case dispatcher.LogEvent:
 			w.logf("controller %d: %s job=%s task=%s run=%d agent=%s %s", l.index, action.Event, action.Job, action.Task, action.Run, action.Agent, action.Detail)
 		}
--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -221,7 +221,7 @@
 	if w.faultOccurs(failedRunShare) {
 		kind = specifier.EndFailed
 	}
-	w.after(w.runTime(), func() { f.end(run, kind) })
+	w.after(w.runTimeOf(id), func() { f.end(run, kind) })
 }
 
 func (f *fakeWorker) stop(call leaseholder.Stop, answer func(leaseholder.Event)) {
--- a/local/simulator/schedule_test.go
+++ b/local/simulator/schedule_test.go
@@ -31,11 +31,29 @@
 	}
 }
 
-// runSchedule runs one schedule: first with faults, then without, then checks the guarantees.
+// Guards against a task of a cancelled job that runs on because the order to stop it was lost: its agent was restarted or away, its stream
+// broke, or another controller led by then.
+func TestCancelledJobsStop(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed)
+			w.scheduleCancellations()
+			w.finishSchedule()
+		})
+	}
+}
+
+// runSchedule runs one schedule of callers and faults, and checks the guarantees.
 func runSchedule(t *testing.T, seed uint64) {
 	t.Helper()
 	w := newWorld(t, seed)
 	w.schedule()
+	w.finishSchedule()
+}
+
+// finishSchedule runs the world first with faults, then without, then checks the guarantees.
+func (w *world) finishSchedule() {
+	w.t.Helper()
 	w.run(w.now.Add(faultTime))
 	w.faultsEnabled = false
 	w.run(w.now.Add(settleTime))
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -32,6 +32,8 @@
 	// warmUp is the time before the faults in a world whose leaders announce jobs.
 	warmUp     = 6 * time.Second
 	minRunTime = 20 * time.Millisecond
+	// cancelledJobs have fewer tasks together than fit into the workers.
+	cancelledJobs = 2
 )
 
 // world simulates the controllers, agents, workers and callers of one schedule.
@@ -49,6 +51,7 @@
 	commandLog    []specifier.QueueCommand
 	agents        []*fakeAgent
 	callers       []*fakeCaller
+	cancellers    []*fakeCanceller
 	running       map[string]*workerRun // by task, on live workers
 	acknowledged  map[string]bool       // tasks whose end as done was acknowledged
 	started       map[string]bool       // jobs with at least one started task
@@ -232,12 +235,31 @@
 	return w.callers
 }
 
+// scheduleCancellations adds jobs that are cancelled while they run. Around each cancellation an agent is restarted or becomes unreachable,
+// or the leader is deposed.
+func (w *world) scheduleCancellations() {
+	for i := range cancelledJobs {
+		caller := &fakeCaller{world: w, id: fmt.Sprintf("c%015x", i+1), runTime: cancelledRunTime}
+		canceller := &fakeCanceller{world: w, caller: caller}
+		w.callers, w.cancellers = append(w.callers, caller), append(w.cancellers, canceller)
+		w.after(w.randomDuration(0, faultTime/2), caller.start)
+		at := w.randomDuration(faultTime/2, faultTime)
+		w.after(at, canceller.cancel)
+		agent := w.agents[w.random.IntN(len(w.agents))]
+		fault := []func(){agent.restart, agent.partition, w.depose}[w.random.IntN(3)]
+		w.after(at+w.randomDuration(-300*time.Millisecond, 300*time.Millisecond), fault)
+	}
+}
+
 // mustKeepGuarantees checks at the end that every job has its answer and that no recorded job is still open.
 func (w *world) mustKeepGuarantees() {
 	w.t.Helper()
 	for _, caller := range w.callers {
 		caller.check()
 	}
+	for _, canceller := range w.cancellers {
+		canceller.check()
+	}
 	if at := slices.IndexFunc(w.leaders, func(l *fakeLeader) bool { return l.index == w.leaderIndex }); at >= 0 {
 		for _, id := range w.leaders[at].machine.Recorder.OpenJobs() {
 			w.failf("recorded job %s has not ended %v after the last fault", id, settleTime)
