Repeat the acknowledgement of ends that an agent reports again

The same cause as with the lost stops, for another order: an acknowledgement was sent when it rose and never again. One to an agent without a stream, on a stream that broke, or to an agent that did not know its worker yet was lost.

Change: an agent that lists its runs and still reports an acknowledged end gets the acknowledgement again, with the grant. TestAcknowledgementThatIsLost fails without the change: the agent is away when the end is recorded, the stream breaks, the agent does not know its worker.

--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -114,6 +114,11 @@
 	return a.acknowledgedEnd > before
 }
 
+// reportsAcknowledged reports whether one of the ends that the agent still reports is acknowledged.
+func (a *agent) reportsAcknowledged(ends []specifier.RunEnd) bool {
+	return slices.ContainsFunc(ends, func(end specifier.RunEnd) bool { return end.Number <= a.acknowledgedEnd })
+}
+
 // markRecorded marks the end of the run as recorded, and reports whether it was a run of this worker.
 func (a *agent) markRecorded(key specifier.RunKey) bool {
 	found := false
--- a/controller/dispatcher/end_test.go
+++ b/controller/dispatcher/end_test.go
@@ -92,3 +92,47 @@
 		must.SliceEmpty(t, f.starts())
 	})
 }
+
+// Guards against ends that are never acknowledged because the order was lost: their agent reports them again and again, and its worker,
+// which lists a limited number of ends, lists no later ones.
+func TestAcknowledgementThatIsLost(t *testing.T) {
+	ended := func(t *testing.T) (*fixture, []specifier.RunEnd) {
+		f := newFixture(t, 1)
+		f.submit("a", 1, false)
+		key := f.starts()[0].Key
+		must.SliceLen(t, 1, find[Propose](f.reportEnd(1, key, specifier.EndDone)))
+		return f, []specifier.RunEnd{{Number: 1, Key: key, Kind: specifier.EndDone}}
+	}
+	t.Run("the agent is away when the end is recorded", func(t *testing.T) {
+		f, ends := ended(t)
+		f.step(AgentDisconnected{Stream: 1})
+		must.Eq(t, 0, acknowledged(f.recordEnd(ends[0].Key, specifier.EndDone)))
+		f.reattach(1, nil, ends)
+		must.Eq(t, 1, acknowledged(f.actions))
+	})
+	t.Run("the stream breaks with the order", func(t *testing.T) {
+		f, ends := ended(t)
+		must.Eq(t, 1, acknowledged(f.recordEnd(ends[0].Key, specifier.EndDone)))
+		f.reattach(2, nil, ends)
+		must.Eq(t, 1, acknowledged(f.actions))
+	})
+	t.Run("the agent did not know its worker", func(t *testing.T) { // it has ignored the order
+		f, ends := ended(t)
+		must.Eq(t, 1, acknowledged(f.recordEnd(ends[0].Key, specifier.EndDone)))
+		for range 2 {
+			f.report(1, func(report *specifier.LeaseReport) { report.Ends = ends })
+			must.Eq(t, 1, acknowledged(f.actions))
+		}
+	})
+	t.Run("nothing to acknowledge", func(t *testing.T) {
+		f, ends := ended(t)
+		must.Eq(t, 1, acknowledged(f.recordEnd(ends[0].Key, specifier.EndDone)))
+		f.report(1, nil)
+		must.Eq(t, 0, acknowledged(f.actions))
+	})
+	t.Run("an end that is not recorded", func(t *testing.T) { // guards against acknowledging an end too early
+		f, ends := ended(t)
+		f.reattach(1, nil, ends)
+		must.Eq(t, 0, acknowledged(f.actions))
+	})
+}
--- a/controller/dispatcher/loststop_test.go
+++ b/controller/dispatcher/loststop_test.go
@@ -9,10 +9,10 @@
 	"oleandertally/core/specifier"
 )
 
-// reattach opens a later stream of agent 1, whose process has the given incarnation, and lists the given runs on it.
-func (f *fixture) reattach(incarnation specifier.Incarnation, runs ...specifier.LeasedRun) {
+// reattach opens a later stream of agent 1, whose process has the given incarnation, and lists the given runs and ends on it.
+func (f *fixture) reattach(incarnation specifier.Incarnation, runs []specifier.LeasedRun, ends []specifier.RunEnd) {
 	const laterStream = Stream(100)
-	report := specifier.LeaseReport{Agent: agentName(1), Incarnation: incarnation, AllRunsKnown: true, RunsComplete: true, Runs: runs}
+	report := specifier.LeaseReport{Agent: agentName(1), Incarnation: incarnation, AllRunsKnown: true, RunsComplete: true, Runs: runs, Ends: ends}
 	report.Token = f.d.fence(f.d.agents[agentName(1)])
 	f.step(ReportReceived{Stream: laterStream, Report: report})
 }
@@ -20,7 +20,7 @@
 // mustRepeatStop requires that the agent is ordered once more to stop the run, which it lists without knowing that it is to be stopped.
 func (f *fixture) mustRepeatStop(key specifier.RunKey, incarnation specifier.Incarnation) {
 	f.t.Helper()
-	f.reattach(incarnation, specifier.LeasedRun{Key: key, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}})
+	f.reattach(incarnation, []specifier.LeasedRun{{Key: key, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}}}, nil)
 	must.Eq(f.t, []specifier.RunKey{key}, f.stops())
 }
 
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -42,6 +42,9 @@
 	}
 	d.enroll(a)
 	d.acknowledge(a)
+	if report.RunsComplete && a.reportsAcknowledged(report.Ends) {
+		d.orderAcknowledgement(a) // the last one was lost, or is still under way
+	}
 }
 
 // enroll proposes to enroll an agent before the first task is started there, and to dismiss it when its worker leaves and runs no task
@@ -241,7 +244,14 @@
 
 // acknowledge orders the agent not to report the recorded ends again.
 func (d *Dispatcher) acknowledge(a *agent) {
-	if !a.advanceAcknowledged() || a.worker == nil {
+	if a.advanceAcknowledged() {
+		d.orderAcknowledgement(a)
+	}
+}
+
+// orderAcknowledgement adds the acknowledgement of the recorded ends to the order to their agent.
+func (d *Dispatcher) orderAcknowledgement(a *agent) {
+	if a.worker == nil {
 		return
 	}
 	order := d.orderTo(a)
