Refuse a job whose path continues after the ID

On the path of the 404 for a job that ran: when a queue is removed whose prefix continues that of another queue, a call that an entry sends again falls to the other queue. Its ID was the rest of the path with a slash in it, so the job was accepted there as another job and ran a second time.

A subtest of TestCallsThatCantBeServed fails without the change.

--- a/controller/dispatcher/dispatcher_test.go
+++ b/controller/dispatcher/dispatcher_test.go
@@ -115,6 +115,12 @@
 		f.step(CallReceived{Stream: caller, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.QueryQueued, Host: "h", Path: "/other/a"}})
 		f.mustReply(specifier.QueueNotFound)
 	})
+	t.Run("the path continues after the ID", func(t *testing.T) { // guards against a job that runs again in a queue with a shorter prefix once its own is removed
+		f := newFixture(t, 1)
+		f.submit("removed/a", 1, true)
+		f.mustReply(specifier.QueueInvalid)
+		must.SliceEmpty(t, f.starts())
+	})
 	t.Run("never started in time", func(t *testing.T) { // guards against running tasks of a job that was refused
 		f := newFixture(t, 0)
 		f.submit("a", 1, true)
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strings"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -8,6 +9,11 @@
 
 // submit accepts or refuses a job. A resubmission of a known job waits for the same outcome.
 func (d *Dispatcher) submit(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
+	if strings.Contains(id, "/") {
+		// The path may belong to a queue with a longer prefix that was removed, where the job may have run.
+		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: "the job's ID contains a slash"})
+		return
+	}
 	definition := call.Job
 	definition.ID, definition.Queue = id, queue.Name
 	if problems := definition.Check(); problems != nil {
