Share the fixtures of the dispatcher's tests

The search for the agent that has a run stood in four tests, the resources of a task in six places and the call that cancels a job in two. TestStopThatIsLost: the agent that is restarted after the order now lists the run as being stopped first. No product code is changed.

--- a/controller/dispatcher/dispatcher_test.go
+++ b/controller/dispatcher/dispatcher_test.go
@@ -20,7 +20,7 @@
 func TestResourcesOfAStoppedRunStayInUse(t *testing.T) {
 	f := newFixture(t, 1)
 	f.submit("a", 2, true)
-	f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/q/a"}})
+	f.cancel("a")
 	f.submit("bb", 2, true)
 	must.SliceEmpty(t, f.starts())
 }
@@ -30,17 +30,9 @@
 	f := newFixture(t, 2)
 	f.submit("a", 1, true)
 	start := f.starts()[0]
-	var busy *agent
-	for _, a := range f.d.agents {
-		if len(a.runs) > 0 {
-			busy = a
-		}
-	}
-	other := 1
-	if busy.name == agentName(1) {
-		other = 2
-	}
-	f.step(AgentDisconnected{Stream: busy.stream})
+	busy := f.busyAgent()
+	other := 3 - busy
+	f.step(AgentDisconnected{Stream: Stream(busy)})
 	for elapsed := time.Duration(0); elapsed < f.d.Settings.GrantSpan; elapsed += 100 * time.Millisecond {
 		f.now = f.now.Add(100 * time.Millisecond)
 		f.report(other, nil)
@@ -62,10 +54,7 @@
 	f := newFixture(t, 2)
 	f.submit("a", 1, true)
 	running := f.starts()[0].Key
-	at := 1
-	if len(f.d.agents[agentName(2)].runs) > 0 {
-		at = 2
-	}
+	at := f.busyAgent()
 	f.step(BecameFollower{})
 	f.step(BecameLeader{Term: 2})
 	f.submit("a", 1, true)
@@ -73,7 +62,7 @@
 	f.attach(3 - at)
 	must.SliceEmpty(t, f.starts())
 	listed := func(report *specifier.LeaseReport) {
-		report.Runs = []specifier.LeasedRun{{Key: running, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}}}
+		report.Runs = []specifier.LeasedRun{{Key: running, Resources: taskResources}}
 	}
 	f.report(at, listed)
 	f.report(at, listed)
--- a/controller/dispatcher/fixture_test.go
+++ b/controller/dispatcher/fixture_test.go
@@ -25,6 +25,9 @@
 
 const caller = Stream(1000)
 
+// taskResources are those of a submitted task. A worker has room for two.
+var taskResources = specifier.Resources{MilliCores: 1000, Memory: 1}
+
 func newFixture(t *testing.T, agents int) *fixture {
 	f := &fixture{t: t, now: time.Unix(1000, 0), leading: true, estimate: 100 * time.Millisecond}
 	f.d = &Dispatcher{Recorder: jobrecorder.New(time.Minute), Settings: Defaults(), Leading: func(time.Time) bool { return f.leading }, EnoughVoters: func() bool { return true }}
@@ -75,7 +78,19 @@
 
 func (f *fixture) submit(id string, count int, transient bool) {
 	f.step(CallReceived{Stream: caller, Sequence: uint64(len(id)), Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: "/q/" + id,
-		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{{Count: count, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}, Estimate: f.estimate}}}}})
+		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{{Count: count, Resources: taskResources, Estimate: f.estimate}}}}})
+}
+
+func (f *fixture) cancel(id string) {
+	f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/q/" + id}})
+}
+
+// busyAgent returns the number of the agent of two that has a run.
+func (f *fixture) busyAgent() int {
+	if len(f.d.agents[agentName(2)].runs) > 0 {
+		return 2
+	}
+	return 1
 }
 
 func (f *fixture) starts() []specifier.RunStart {
--- a/controller/dispatcher/loststop_test.go
+++ b/controller/dispatcher/loststop_test.go
@@ -20,16 +20,12 @@
 // mustRepeatStop requires that the agent is ordered once more to stop the run, which it lists without knowing that it is to be stopped.
 func (f *fixture) mustRepeatStop(key specifier.RunKey, incarnation specifier.Incarnation) {
 	f.t.Helper()
-	f.reattach(incarnation, []specifier.LeasedRun{{Key: key, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}}}, nil)
+	f.reattach(incarnation, []specifier.LeasedRun{{Key: key, Resources: taskResources}}, nil)
 	must.Eq(f.t, []specifier.RunKey{key}, f.stops())
 }
 
-func (f *fixture) cancel(id string) {
-	f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/q/" + id}})
-}
-
-// Guards against a run that goes on although its job was cancelled or has failed, or although nobody claims it or it stands still,
-// because the order to stop it never reached its agent.
+// Guards against a run that goes on although its job was cancelled or it counts as stalled, because the order to stop it never reached its
+// agent.
 func TestStopThatIsLost(t *testing.T) {
 	started := func(t *testing.T, transient bool) (*fixture, specifier.RunKey) {
 		f := newFixture(t, 1)
@@ -58,7 +54,8 @@
 	t.Run("the agent is restarted after the order", func(t *testing.T) {
 		f, key := started(t, true)
 		f.cancel("a")
-		f.report(1, nil)
+		f.report(1, func(report *specifier.LeaseReport) { report.Runs[0].Stopping = true })
+		must.SliceEmpty(t, f.stops())
 		f.mustRepeatStop(key, 2)
 	})
 	t.Run("the stream breaks with the order to stop a stalled run", func(t *testing.T) {
@@ -113,16 +110,13 @@
 	f := newFixture(t, 2)
 	f.submit("a", 1, false)
 	key := f.starts()[0].Key
-	at := 1
-	if len(f.d.agents[agentName(2)].runs) > 0 {
-		at = 2
-	}
+	at := f.busyAgent()
 	f.step(AgentDisconnected{Stream: Stream(at)})
 	f.cancel("a")
 	f.step(BecameFollower{})
 	f.step(BecameLeader{Term: 2})
 	f.report(at, func(report *specifier.LeaseReport) {
-		report.Runs = []specifier.LeasedRun{{Key: key, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}}}
+		report.Runs = []specifier.LeasedRun{{Key: key, Resources: taskResources}}
 	})
 	must.False(t, f.d.recoveryUntil.IsZero())
 	must.Eq(t, []specifier.RunKey{key}, f.stops())
--- a/controller/dispatcher/orphan_test.go
+++ b/controller/dispatcher/orphan_test.go
@@ -65,7 +65,7 @@
 	})
 	t.Run("of known resources", func(t *testing.T) { // guards against stopping a run before its caller resubmits the job
 		f := newFixture(t, 1)
-		key := discoverOrphan(f, specifier.Resources{MilliCores: 1000, Memory: 1})
+		key := discoverOrphan(f, taskResources)
 		f.submit("a", 1, true)
 		must.SliceLen(t, 1, f.starts())
 		f.advance(f.d.Settings.BlockedAfter)
--- a/controller/dispatcher/silent_test.go
+++ b/controller/dispatcher/silent_test.go
@@ -16,10 +16,7 @@
 	f.estimate = 20 * time.Millisecond // the run counts as stalled after 0.54 s
 	f.submit("a", 1, true)
 	key := f.starts()[0].Key
-	silent := 1
-	if len(f.d.agents[agentName(2)].runs) > 0 {
-		silent = 2
-	}
+	silent := f.busyAgent()
 	for range 10 {
 		f.advance(100 * time.Millisecond)
 		must.SliceEmpty(t, f.stops())
