Take no run for lost while the list of its worker's ends is cut

Cause: a worker lists 500 ends at a time. A restarted agent told the leader that it knew every run as soon as one poll with its token was answered, so the leader took the 220 runs beyond the first page for lost and started their tasks again.

Evidence: TestCutListOfEnds/the_agent_was_restarted fails without the change. In the schedules of local/simulator the worker now lists pages of two ends (one seed in four keeps complete lists), and a start after an end as done counts as a fault when that end is acknowledged later, as the platform's rule says; before, only a start after the acknowledgement did.

Change: a poll's result says how complete its list is (Completeness in place of EndsComplete). An agent knows all runs once a poll with its token was answered and one list of ends of its process was not cut. Rows that can't be read leave it as it was: they block the drop of a run in progress, but not the worker.

--- /dev/null
+++ b/agent/leaseholder/cutlist_test.go
@@ -0,0 +1,80 @@
+package leaseholder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/specifier"
+)
+
+// listCut answers the polls of the last step with a list of ends that continues after the given ones.
+func (f *fixture) listCut(ends ...specifier.RunEnd) {
+	f.now = f.now.Add(time.Millisecond)
+	for _, poll := range find[Poll](f.actions) {
+		f.step(PollResult{Answer: f.answer(), Immediate: poll.Immediate, Token: poll.Token, Ends: ends})
+	}
+}
+
+// listRest acknowledges an end, and answers a poll with the last page, which holds the end after that one.
+func (f *fixture) listRest(acknowledged uint64, rest specifier.RunEnd) {
+	f.now = f.now.Add(time.Millisecond)
+	f.step(OrderReceived{specifier.LeaseOrder{Token: f.holder.token, AcknowledgedEnd: acknowledged, AcknowledgedWorkerStart: f.workerStart}})
+	must.Eq(f.t, acknowledged, f.holder.acknowledged)
+	f.step(PollResult{Answer: f.answer(), Token: f.holder.workerToken(), Completeness: ListComplete, Ends: []specifier.RunEnd{rest}})
+}
+
+// mustReportAllRunsKnown requires that the next renewal tells whether every run at the worker is known.
+func (f *fixture) mustReportAllRunsKnown(known bool) {
+	f.t.Helper()
+	f.now = f.holder.renewAt
+	reports := find[Report](f.holder.Expire(f.now))
+	must.SliceLen(f.t, 1, reports)
+	must.Eq(f.t, known, reports[0].Report.AllRunsKnown)
+}
+
+// mustReportEnd requires that the last step has reported the end.
+func (f *fixture) mustReportEnd(end specifier.RunEnd) {
+	f.t.Helper()
+	reports := find[Report](f.actions)
+	must.Positive(f.t, len(reports))
+	must.Eq(f.t, []specifier.RunEnd{end}, reports[0].Report.Ends)
+}
+
+// Guards against a second run of a task whose end the worker holds but had no room for in its answer.
+func TestCutListOfEnds(t *testing.T) {
+	first, rest := specifier.RunEnd{Number: 1, Key: key(1), Kind: specifier.EndDone}, specifier.RunEnd{Number: 2, Key: key(2), Kind: specifier.EndDone}
+	restarted := func(t *testing.T) *fixture { // the agent was restarted and has polled its worker
+		f := newFixture(t)
+		worker := *f.holder.worker
+		f.holder = &LeaseHolder{Name: "agent", Incarnation: 2, GrantSpan: f.holder.GrantSpan, MaxLease: f.holder.MaxLease, StartedAt: f.now}
+		f.step(Connected{})
+		f.step(Announced{Sequence: 2, Worker: worker})
+		f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
+		return f
+	}
+	t.Run("the agent was restarted", func(t *testing.T) {
+		f := restarted(t)
+		f.listCut(first)
+		f.mustReportAllRunsKnown(false)
+		f.listRest(1, rest)
+		f.mustReportEnd(rest)
+		f.mustReportAllRunsKnown(true)
+	})
+	t.Run("another controller leads", func(t *testing.T) { // which learns of all runs at once: this process has followed them from their starts
+		f := newFixture(t)
+		f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
+		f.mustReportAllRunsKnown(false)
+		f.listCut(first)
+		f.mustReportAllRunsKnown(true)
+	})
+	t.Run("the worker was restarted", func(t *testing.T) { // it ran nothing, so its first list is not cut
+		f := newFixture(t)
+		f.workerStart = f.now
+		f.step(Announced{Sequence: 1, Worker: specifier.LeasedWorker{ID: "w", StartedAt: f.workerStart, Capacity: specifier.Resources{MilliCores: 1000}}})
+		f.mustReportAllRunsKnown(false)
+		f.answerPolls(nil, nil)
+		f.mustReportAllRunsKnown(true)
+	})
+}
--- a/agent/leaseholder/leaseholder_test.go
+++ b/agent/leaseholder/leaseholder_test.go
@@ -39,7 +39,7 @@
 // answerPolls answers the polls of the last step.
 func (f *fixture) answerPolls(runs []specifier.LeasedRun, ends []specifier.RunEnd) {
 	for _, poll := range find[Poll](f.actions) {
-		f.step(PollResult{Answer: f.answer(), Immediate: poll.Immediate, Token: poll.Token, EndsComplete: true, Runs: runs, Ends: ends})
+		f.step(PollResult{Answer: f.answer(), Immediate: poll.Immediate, Token: poll.Token, Completeness: ListComplete, Runs: runs, Ends: ends})
 	}
 }
 
@@ -142,7 +142,7 @@
 	f := newFixture(t)
 	before := f.holder.workerToken()
 	f.workerStart = f.now
-	f.step(PollResult{Answer: f.answer(), Token: before, EndsComplete: true})
+	f.step(PollResult{Answer: f.answer(), Token: before, Completeness: ListComplete})
 	must.Greater(t, before, f.holder.workerToken())
 	must.False(t, f.holder.allRunsKnown())
 }
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -44,15 +44,16 @@
 		return
 	}
 	l.answeredAt, l.failedPolls = l.now, 0
-	firstWithToken := result.Token == l.workerToken() && l.polledToken != result.Token
+	known := l.runsListed()
 	l.polledToken = max(l.polledToken, result.Token)
+	l.endsListed = l.endsListed || result.Completeness != ListCut
 	newEnds := l.addEnds(result.Ends)
 	// The ends are reported before the list of runs: a run that is not listed and has no end would be started again.
 	if len(newEnds) > 0 {
 		l.report(specifier.LeaseReport{Ends: newEnds})
 	}
 	l.compareRuns(result)
-	if firstWithToken {
+	if !known && l.runsListed() {
 		l.renewIfConnected()
 	}
 	if len(l.ends) > 0 && !result.Immediate {
@@ -70,6 +71,7 @@
 	l.incarnations++
 	l.restartLeaseEnd = l.now.Add(time.Duration(float64(l.MaxLease)/minClockRate) + maxStartTime)
 	l.ends, l.lastListed, l.acknowledged, l.leaseEnd = nil, 0, 0, 0
+	l.endsListed = false
 	l.clock = workerClock{}
 	for key, run := range l.runs {
 		if run.state == runRunning {
@@ -163,7 +165,7 @@
 func (l *LeaseHolder) runNotListed(run *trackedRun, result PollResult) {
 	switch run.state {
 	case runRunning:
-		if result.EndsComplete && run.confirmedAt.Before(result.CalledAt) {
+		if result.Completeness == ListComplete && run.confirmedAt.Before(result.CalledAt) {
 			l.drop(run, specifier.EndLeaseExpired)
 		}
 	case runUnanswered:
--- a/agent/leaseholder/pollresult.go
+++ b/agent/leaseholder/pollresult.go
@@ -10,5 +10,5 @@
 	Refused      bool
 	Runs         []specifier.LeasedRun
 	Ends         []specifier.RunEnd
-	EndsComplete bool // Ends holds every end that is not acknowledged
+	Completeness Completeness
 }
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -102,10 +102,16 @@
 	return l.token*tokenFactor + min(l.incarnations, tokenFactor-1)
 }
 
+// runsListed reports whether the worker has listed every run and end that this process did not know, and carries out no start with
+// an earlier token any more. A cut list of ends does not suffice: a run that is in neither list may be among the ends that follow.
+func (l *LeaseHolder) runsListed() bool {
+	return l.token > 0 && l.polledToken == l.workerToken() && l.endsListed
+}
+
 // allRunsKnown reports whether every run that may exist at the worker is in the agent's list. Without an answer of the worker,
 // this is certain once every lease that this process or an earlier one requested has ended.
 func (l *LeaseHolder) allRunsKnown() bool {
-	if l.token > 0 && l.polledToken == l.workerToken() {
+	if l.runsListed() {
 		return true
 	}
 	return len(l.runs) == 0 && !l.now.Before(later(l.StartedAt, l.answeredAt).Add(settleDelay))
--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,12 @@
 	maxStopDelay    = 50 * time.Millisecond
 )
 
+// endContext is what the checks of a run's end need to know of the time of that end.
+type endContext struct {
+	expiries int // how often the worker's lease had expired
+	starts   int // how often the task had been started
+}
+
 // workerRun is a run of a task on one incarnation of a worker.
 type workerRun struct {
 	key         specifier.RunKey
@@ -28,23 +35,23 @@
 
 // fakeWorker follows the documented worker protocol, for a worker that does not check its own capacity.
 type fakeWorker struct {
-	world         *world
-	name          string
-	up            bool
-	incarnation   int
-	startedAt     time.Time
-	clockRate     float64
-	announce      func()
-	sequence      uint64
-	token         uint64
-	leaseEnd      time.Duration  // on the worker's clock
-	expiries      int            // how often the lease has expired
-	expiriesAtEnd map[uint64]int // expiries when each run ended, by number of the end
-	runs          map[specifier.RunKey]*workerRun
-	highestEnded  map[string]uint64  // highest stopped or ended run of each task
-	ends          []specifier.RunEnd // not yet acknowledged
-	lastEnd       uint64
-	waitingPolls  []func() // answer the polls that wait for a run to end
+	world        *world
+	name         string
+	up           bool
+	incarnation  int
+	startedAt    time.Time
+	clockRate    float64
+	announce     func()
+	sequence     uint64
+	token        uint64
+	leaseEnd     time.Duration         // on the worker's clock
+	expiries     int                   // how often the lease has expired
+	contexts     map[uint64]endContext // by number of the end
+	runs         map[specifier.RunKey]*workerRun
+	highestEnded map[string]uint64  // highest stopped or ended run of each task
+	ends         []specifier.RunEnd // not yet acknowledged
+	lastEnd      uint64
+	waitingPolls []func() // answer the polls that wait for a run to end
 }
 
 func newFakeWorker(w *world, name string) *fakeWorker {
@@ -57,7 +64,7 @@
 	f.up, f.startedAt, f.clockRate = true, f.world.now, 0.98+0.02*f.world.random.Float64()
 	f.incarnation++
 	f.token, f.leaseEnd, f.lastEnd, f.sequence = 0, 0, 0, 0
-	f.expiries, f.expiriesAtEnd = 0, make(map[uint64]int)
+	f.expiries, f.contexts = 0, make(map[uint64]endContext)
 	f.runs, f.highestEnded, f.ends, f.waitingPolls = make(map[specifier.RunKey]*workerRun), make(map[string]uint64), nil, nil
 	f.world.after(f.world.randomDuration(0, 200*time.Millisecond), func() { f.announce() })
 }
@@ -161,7 +168,7 @@
 	f.highestEnded[run.key.Task] = max(f.highestEnded[run.key.Task], run.key.Run)
 	f.lastEnd++
 	f.ends = append(f.ends, specifier.RunEnd{Number: f.lastEnd, Key: run.key, Kind: kind})
-	f.expiriesAtEnd[f.lastEnd] = f.expiries
+	f.contexts[f.lastEnd] = endContext{expiries: f.expiries, starts: f.world.starts[run.key.Task]}
 	f.world.logf("%s: run %v ended %v", f.name, run.key, kind)
 	for _, wake := range f.waitingPolls {
 		wake()
@@ -215,6 +222,7 @@
 		w.failf("%s: runs use %d millicores of %d", f.name, used, workerCores)
 	}
 	w.running[key.Task], f.runs[key] = run, run
+	w.starts[key.Task]++
 	id, _, _ := strings.Cut(key.Task, ".")
 	w.started[id] = true
 	kind := specifier.EndDone
@@ -255,7 +263,11 @@
 		f.extendLease(call.LeaseEnd)
 		f.acknowledge(call.Acknowledged)
 		list := func() {
-			result := leaseholder.PollResult{Answer: f.answer(calledAt), Immediate: call.Immediate, Token: call.Token, EndsComplete: true, Ends: append([]specifier.RunEnd(nil), f.ends...)}
+			listed := slices.Clone(f.ends[:min(len(f.ends), f.world.endsPerPage)])
+			result := leaseholder.PollResult{Answer: f.answer(calledAt), Immediate: call.Immediate, Token: call.Token, Ends: listed}
+			if len(listed) < f.world.endsPerPage {
+				result.Completeness = leaseholder.ListComplete
+			}
 			for key := range f.runs {
 				result.Runs = append(result.Runs, specifier.LeasedRun{Key: key})
 			}
@@ -278,14 +290,19 @@
 }
 
 // acknowledge deletes the ends up to a number that the agent reports as acknowledged by the controller. A done task of a
-// recorded job must not start again, provided that the lease has not expired since the end.
+// recorded job must not have started again since its end, nor start later, provided that the lease has not expired since the end.
 func (f *fakeWorker) acknowledge(number uint64) {
+	w := f.world
 	for len(f.ends) > 0 && f.ends[0].Number <= number {
-		end := f.ends[0]
+		end, context := f.ends[0], f.contexts[f.ends[0].Number]
 		f.ends = f.ends[1:]
 		id, _, _ := strings.Cut(end.Key.Task, ".")
-		if end.Kind == specifier.EndDone && f.world.isRecorded(id) && f.expiriesAtEnd[end.Number] == f.expiries {
-			f.world.acknowledged[end.Key.Task] = true
+		if end.Kind != specifier.EndDone || !w.isRecorded(id) || context.expiries != f.expiries {
+			continue
+		}
+		w.acknowledged[end.Key.Task] = true
+		if w.starts[end.Key.Task] > context.starts {
+			w.failf("task %s was started again after the end of its run %d, which is acknowledged now", end.Key.Task, end.Key.Run)
 		}
 	}
 }
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -34,6 +35,8 @@
 	minRunTime = 20 * time.Millisecond
 	// cancelledJobs have fewer tasks together than fit into the workers.
 	cancelledJobs = 2
+	// endsPerSmallPage is the number of ends in one answer of most worlds' workers. A page that is full may have a next one.
+	endsPerSmallPage = 2
 )
 
 // world simulates the controllers, agents, workers and callers of one schedule.
@@ -54,16 +57,21 @@
 	cancellers    []*fakeCanceller
 	running       map[string]*workerRun // by task, on live workers
 	acknowledged  map[string]bool       // tasks whose end as done was acknowledged
+	starts        map[string]int        // started runs by task
 	started       map[string]bool       // jobs with at least one started task
 	announcing    bool                  // leaders announce the jobs that they may start
+	endsPerPage   int                   // the most ends that a worker lists in one answer
 	slowUntil     time.Time             // until then the log commits slowly
 	logLines      []string
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), timers: container.Heap[timer]{Less: earlier},
-		faultsEnabled: true, leaderIndex: -1, running: make(map[string]*workerRun), acknowledged: make(map[string]bool), started: make(map[string]bool)}
-	w.announcing = seed%2 == 0
+		faultsEnabled: true, leaderIndex: -1, running: make(map[string]*workerRun), acknowledged: make(map[string]bool), started: make(map[string]bool), starts: make(map[string]int)}
+	w.announcing, w.endsPerPage = seed%2 == 0, endsPerSmallPage
+	if seed%4 == 3 { // the workers of these worlds never have as many ends
+		w.endsPerPage = math.MaxInt
+	}
 	settings := dispatcher.Defaults()
 	if w.announcing {
 		settings.ResendAfter = callerPause
