Keep a run whose start was not answered while the list of ends is cut

Cause: a start without an answer was reported as not run when a poll did not list its run and the start could not be carried out any more.

Change: such a run is dropped only on a list that is not cut.

--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -161,7 +161,7 @@
 	return false
 }
 
-// runNotListed handles a run that the worker did not list.
+// runNotListed handles a run that the worker did not list. While the list of ends is cut, the run may have ended as done.
 func (l *LeaseHolder) runNotListed(run *trackedRun, result PollResult) {
 	switch run.state {
 	case runRunning:
@@ -169,7 +169,8 @@
 			l.drop(run, specifier.EndLeaseExpired)
 		}
 	case runUnanswered:
-		if !run.stoppedAt.IsZero() && run.stoppedAt.Before(result.CalledAt) || result.Clock > run.leaseEnd {
+		cannotStart := !run.stoppedAt.IsZero() && run.stoppedAt.Before(result.CalledAt) || result.Clock > run.leaseEnd
+		if cannotStart && result.Completeness != ListCut {
 			l.drop(run, specifier.EndUnanswered)
 		} else if !run.stopping {
 			l.stop(run)
