Say which start of the worker a report's lists belong to

A job could stand still, or a task that had ended as done could be run again, after an agent was restarted.

The leader counted ends by the worker's start in the last status report: after a restart of worker and agent, ends of the new incarnation with low numbers were taken for known ones, and their tasks for lost.

Change: reports carry the start of the incarnation whose runs and ends they list (field WorkerBorn of QueueReport); the leader counts and acknowledges ends by it, and falls back to the status report for agents of an earlier version.

--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -42,20 +42,19 @@
 	must.Eq(f.t, []specifier.RunEnd{end}, reports[0].Report.Ends)
 }
 
+// restart replaces the agent's process by one that has not heard from its worker yet.
+func (f *fixture) restart() {
+	f.holder = &LeaseHolder{Name: "agent", Incarnation: 2, GrantSpan: f.holder.GrantSpan, MaxLease: f.holder.MaxLease, StartedAt: f.now}
+	f.step(Connected{})
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
+}
+
 // Guards against a second run of a task whose end the worker holds but had no room for in its answer.
 func TestCutListOfEnds(t *testing.T) {
 	first, rest := specifier.RunEnd{Number: 1, Key: key(1), Kind: specifier.EndDone}, specifier.RunEnd{Number: 2, Key: key(2), Kind: specifier.EndDone}
-	restarted := func(t *testing.T) *fixture { // the agent was restarted and has polled its worker
+	t.Run("the agent was restarted", func(t *testing.T) { // its worker announces itself later
 		f := newFixture(t)
-		worker := *f.holder.worker
-		f.holder = &LeaseHolder{Name: "agent", Incarnation: 2, GrantSpan: f.holder.GrantSpan, MaxLease: f.holder.MaxLease, StartedAt: f.now}
-		f.step(Connected{})
-		f.step(Announced{Sequence: 2, Worker: worker})
-		f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
-		return f
-	}
-	t.Run("the agent was restarted", func(t *testing.T) {
-		f := restarted(t)
+		f.restart()
 		f.listCut(first)
 		f.mustReportAllRunsKnown(false)
 		f.listRest(1, rest)
@@ -99,3 +98,14 @@
 		must.MapContainsKey(t, f.holder.runs, key(2))
 	})
 }
+
+// Guards against an acknowledgement that deletes the ends of another incarnation of the worker.
+func TestAcknowledgementOfAnotherIncarnation(t *testing.T) {
+	f := newFixture(t)
+	f.restart()
+	f.answerPolls(nil, []specifier.RunEnd{{Number: 1, Key: key(1), Kind: specifier.EndDone}})
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, AcknowledgedEnd: 1, AcknowledgedWorkerStart: f.workerStart.Add(-time.Hour)}})
+	must.False(t, f.holder.Idle())
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, AcknowledgedEnd: 1, AcknowledgedWorkerStart: f.workerStart}})
+	must.True(t, f.holder.Idle())
+}
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -36,7 +36,7 @@
 		return
 	}
 	report.Agent, report.Incarnation, report.LastOrder, report.Leaving = l.Name, l.Incarnation, l.orders, l.leaving
-	report.AllRunsKnown, report.Token = l.allRunsKnown(), l.token
+	report.AllRunsKnown, report.Token, report.WorkerStartedAt = l.allRunsKnown(), l.token, l.startedAt
 	if l.workerChanged || report.RunsComplete {
 		report.Worker = l.worker
 		l.workerChanged = false
@@ -66,7 +66,7 @@
 	for _, start := range order.Starts {
 		l.start(start)
 	}
-	if l.worker != nil && order.AcknowledgedEnd > l.acknowledged && order.AcknowledgedWorkerStart.Equal(l.worker.StartedAt) {
+	if order.AcknowledgedEnd > l.acknowledged && order.AcknowledgedWorkerStart.Equal(l.startedAt) {
 		l.acknowledge(order.AcknowledgedEnd)
 	}
 }
--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -25,8 +25,9 @@
 	used            specifier.Resources
 	unknownRuns     int // runs whose resources are not known
 	runs            map[specifier.RunKey]*run
-	handledEnd      uint64 // number of the last end handled in this incarnation of the worker
-	acknowledgedEnd uint64 // number of the last end that need not be reported again
+	endsOf          time.Time // start of the worker incarnation whose ends are counted by the following fields
+	handledEnd      uint64    // number of the last end handled
+	acknowledgedEnd uint64    // number of the last end that need not be reported again
 	ends            []*pendingEnd
 	health          health
 	pool            *pool // pool of its worker; nil until reported
@@ -119,6 +120,19 @@
 	return slices.ContainsFunc(ends, func(end specifier.RunEnd) bool { return end.Number <= a.acknowledgedEnd })
 }
 
+// selectEnds prepares for the ends that a report lists: those of another incarnation of the worker are numbered from 1 again. The incarnation
+// may be one that the worker has not announced to a restarted agent yet.
+func (a *agent) selectEnds(report specifier.LeaseReport) {
+	startedAt := report.WorkerStartedAt
+	if startedAt.IsZero() && report.Worker != nil {
+		startedAt = report.Worker.StartedAt // an agent of an earlier version
+	}
+	if startedAt.IsZero() || startedAt.Equal(a.endsOf) {
+		return
+	}
+	a.endsOf, a.handledEnd, a.acknowledgedEnd, a.ends = startedAt, 0, 0, nil
+}
+
 // markRecorded marks the end of the run as recorded, and reports whether it was a run of this worker.
 func (a *agent) markRecorded(key specifier.RunKey) bool {
 	found := false
--- a/controller/dispatcher/loststop_test.go
+++ b/controller/dispatcher/loststop_test.go
@@ -9,9 +9,11 @@
 	"oleandertally/core/specifier"
 )
 
+// laterStream is a stream that agent 1 opens after its first one.
+const laterStream = Stream(100)
+
 // reattach opens a later stream of agent 1, whose process has the given incarnation, and lists the given runs and ends on it.
 func (f *fixture) reattach(incarnation specifier.Incarnation, runs []specifier.LeasedRun, ends []specifier.RunEnd) {
-	const laterStream = Stream(100)
 	report := specifier.LeaseReport{Agent: agentName(1), Incarnation: incarnation, AllRunsKnown: true, RunsComplete: true, Runs: runs, Ends: ends}
 	report.Token = f.d.fence(f.d.agents[agentName(1)])
 	f.step(ReportReceived{Stream: laterStream, Report: report})
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -23,6 +23,7 @@
 	if report.Worker != nil {
 		d.updateWorker(a, report.Worker)
 	}
+	a.selectEnds(report)
 	if report.Renewal > 0 && d.Leading(d.now) && !d.announcementsLate() {
 		a.renewedAt, a.grantUntil = d.now, d.now.Add(d.Settings.GrantSpan)
 		order := d.orderTo(a)
@@ -94,10 +95,9 @@
 	return a
 }
 
-// updateWorker stores a worker's description of itself. A new incarnation of a worker has no ends and no health yet.
+// updateWorker stores a worker's description of itself. A new incarnation of a worker has no health yet.
 func (d *Dispatcher) updateWorker(a *agent, worker *specifier.LeasedWorker) {
 	if a.worker == nil || a.worker.ID != worker.ID || !a.worker.StartedAt.Equal(worker.StartedAt) {
-		a.handledEnd, a.acknowledgedEnd, a.ends = 0, 0, nil
 		a.health = health{}
 		if a.worker != nil {
 			a.settled = false // stays false until the agent has fenced off the orders to the former incarnation
@@ -251,11 +251,11 @@
 
 // orderAcknowledgement adds the acknowledgement of the recorded ends to the order to their agent.
 func (d *Dispatcher) orderAcknowledgement(a *agent) {
-	if a.worker == nil {
+	if a.endsOf.IsZero() {
 		return
 	}
 	order := d.orderTo(a)
-	order.AcknowledgedEnd, order.AcknowledgedWorkerStart = a.acknowledgedEnd, a.worker.StartedAt
+	order.AcknowledgedEnd, order.AcknowledgedWorkerStart = a.acknowledgedEnd, a.endsOf
 }
 
 // task returns the task of that name in a job that has not ended, or nil.
--- a/core/encoder/leasereport.go
+++ b/core/encoder/leasereport.go
@@ -10,6 +10,9 @@
 func EncodeLeaseReport(report specifier.LeaseReport) *QueueReport {
 	m := &QueueReport{Agent: report.Agent, Incarnation: uint64(report.Incarnation), Renewal: report.Renewal, Orders: report.LastOrder,
 		Settled: report.AllRunsKnown, Token: report.Token, Leaving: report.Leaving, Listed: report.RunsComplete, Ends: encodeEnds(report.Ends), Refused: encodeEnds(report.RefusedStarts)}
+	if !report.WorkerStartedAt.IsZero() {
+		m.WorkerBorn = report.WorkerStartedAt.UnixNano()
+	}
 	if worker := report.Worker; worker != nil {
 		m.Worker = &QueueWorker{ID: worker.ID, Born: worker.StartedAt.UnixNano(), Pool: worker.Pool, Capacity: EncodeResources(worker.Capacity),
 			Labels: worker.Labels, Draining: worker.Draining}
@@ -24,6 +27,9 @@
 func DecodeLeaseReport(m *QueueReport) specifier.LeaseReport {
 	report := specifier.LeaseReport{Agent: m.Agent, Incarnation: specifier.Incarnation(m.Incarnation), Renewal: m.Renewal, LastOrder: m.Orders,
 		AllRunsKnown: m.Settled, Token: m.Token, Leaving: m.Leaving, RunsComplete: m.Listed, Ends: decodeEnds(m.Ends), RefusedStarts: decodeEnds(m.Refused)}
+	if m.WorkerBorn != 0 {
+		report.WorkerStartedAt = time.Unix(0, m.WorkerBorn)
+	}
 	if worker := m.Worker; worker != nil {
 		report.Worker = &specifier.LeasedWorker{ID: worker.ID, StartedAt: time.Unix(0, worker.Born), Pool: worker.Pool,
 			Capacity: DecodeResources(worker.Capacity), Labels: worker.Labels, Draining: worker.Draining}
