Adopt the newest run of a task under a new leader

Callers could see a task that had ended as done run again after a change of leader.

Cause: two agents can list a run of the same task to a new leader, the one that the earlier leader had replaced and the newer one. The new leader adopted whichever was listed first and stopped the other. When the older one was reported as gone, it started the task once more, though the newer run had ended as done in a list that was still cut.

Evidence: TestNewestRunIsAdopted/the_older_run_is_listed_first fails without the change.

Change: a listed run with a higher number than the adopted one replaces it during the recovery. Runs that wait for their job already did so.

--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -197,6 +197,9 @@
 	switch {
 	case t != nil && (t.state == taskReady || t.state == taskBlocked) && !d.recoveryUntil.IsZero():
 		d.adopt(t, r)
+	case t != nil && t.run != nil && t.run.key.Run < r.key.Run && !d.recoveryUntil.IsZero():
+		// An earlier leader had replaced the run that was adopted.
+		d.replaceRun(t, r)
 	case t != nil || recorded || d.recoveryUntil.IsZero():
 		// The task is done, runs elsewhere or may be started elsewhere at any moment, or its job has ended.
 		if other := d.orphans[r.key.Task]; t == nil && other == nil && !recorded {
@@ -216,6 +219,14 @@
 	}
 }
 
+// replaceRun stops the present run of a task and adopts a newer one.
+func (d *Dispatcher) replaceRun(t *task, newer *run) {
+	former := t.run
+	t.run, former.task = nil, nil
+	d.stop(former)
+	d.adopt(t, newer)
+}
+
 // scheduleOrphanCheck schedules the stop of a run that no job claims. Entries resubmit their jobs within a few milliseconds of finding
 // a leader, callers seconds later.
 func (d *Dispatcher) scheduleOrphanCheck(r *run) {
