Let a new leader wait for ends that a worker has not listed yet

Callers could see a task that had ended as done run again after a change of leader and a restart of an agent.

Cause: a new leader stops waiting for the lists of the agents after 1.35 s, when the grants of earlier leaders have ended. That makes runs void, but not ends: an agent that was back meanwhile extends the leases again, and its worker lists its ends page by page. Tasks whose ends were missing were started again.

Evidence: TestRecoveryWaitsForCutLists fails without the change in its three subtests.

Change: reports say whether the worker holds ends that it has not listed to this process of the agent (field EndsCut of QueueReport). The leader waits for such an agent, at most as long again and not beyond the agent's own grant. Other recoveries take as long as before.

--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -25,13 +25,14 @@
 	f.step(PollResult{Answer: f.answer(), Token: f.holder.workerToken(), Completeness: ListComplete, Ends: []specifier.RunEnd{rest}})
 }
 
-// mustReportAllRunsKnown requires that the next renewal tells whether every run at the worker is known.
-func (f *fixture) mustReportAllRunsKnown(known bool) {
+// mustReport requires that the next renewal tells whether every run at the worker is known, and whether ends are missing.
+func (f *fixture) mustReport(known, endsCut bool) {
 	f.t.Helper()
 	f.now = f.holder.renewAt
 	reports := find[Report](f.holder.Expire(f.now))
 	must.SliceLen(f.t, 1, reports)
 	must.Eq(f.t, known, reports[0].Report.AllRunsKnown)
+	must.Eq(f.t, endsCut, reports[0].Report.EndsCut)
 }
 
 // mustReportEnd requires that the last step has reported the end.
@@ -55,26 +56,27 @@
 	t.Run("the agent was restarted", func(t *testing.T) { // its worker announces itself later
 		f := newFixture(t)
 		f.restart()
+		f.mustReport(false, false)
 		f.listCut(first)
-		f.mustReportAllRunsKnown(false)
+		f.mustReport(false, true)
 		f.listRest(1, rest)
 		f.mustReportEnd(rest)
-		f.mustReportAllRunsKnown(true)
+		f.mustReport(true, false)
 	})
 	t.Run("another controller leads", func(t *testing.T) { // which learns of all runs at once: this process has followed them from their starts
 		f := newFixture(t)
 		f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
-		f.mustReportAllRunsKnown(false)
+		f.mustReport(false, false)
 		f.listCut(first)
-		f.mustReportAllRunsKnown(true)
+		f.mustReport(true, false)
 	})
 	t.Run("the worker was restarted", func(t *testing.T) { // it ran nothing, so its first list is not cut
 		f := newFixture(t)
 		f.workerStart = f.now
 		f.step(Announced{Sequence: 1, Worker: specifier.LeasedWorker{ID: "w", StartedAt: f.workerStart, Capacity: specifier.Resources{MilliCores: 1000}}})
-		f.mustReportAllRunsKnown(false)
+		f.mustReport(false, false)
 		f.answerPolls(nil, nil)
-		f.mustReportAllRunsKnown(true)
+		f.mustReport(true, false)
 	})
 	t.Run("a start was not answered", func(t *testing.T) {
 		f := newFixture(t)
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -68,6 +68,7 @@
 	runs            map[specifier.RunKey]*trackedRun
 	ends            []specifier.RunEnd // not yet acknowledged by the controller
 	lastListed      uint64             // highest end that the worker listed
+	endsCut         bool               // the last list of ends was cut
 	endsListed      bool               // a list of ends was not cut, so that this process has seen the ends before it too
 	acknowledged    uint64             // highest end that the controller has recorded
 	leaseEnd        time.Duration      // end of the longest lease that was requested, on the worker's clock
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -46,7 +46,8 @@
 	l.answeredAt, l.failedPolls = l.now, 0
 	known := l.runsListed()
 	l.polledToken = max(l.polledToken, result.Token)
-	l.endsListed = l.endsListed || result.Completeness != ListCut
+	l.endsCut = result.Completeness == ListCut
+	l.endsListed = l.endsListed || !l.endsCut
 	newEnds := l.addEnds(result.Ends)
 	// The ends are reported before the list of runs: a run that is not listed and has no end would be started again.
 	if len(newEnds) > 0 {
@@ -71,7 +72,7 @@
 	l.incarnations++
 	l.restartLeaseEnd = l.now.Add(time.Duration(float64(l.MaxLease)/minClockRate) + maxStartTime)
 	l.ends, l.lastListed, l.acknowledged, l.leaseEnd = nil, 0, 0, 0
-	l.endsListed = false
+	l.endsCut, l.endsListed = false, false
 	l.clock = workerClock{}
 	for key, run := range l.runs {
 		if run.state == runRunning {
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -37,6 +37,7 @@
 	}
 	report.Agent, report.Incarnation, report.LastOrder, report.Leaving = l.Name, l.Incarnation, l.orders, l.leaving
 	report.AllRunsKnown, report.Token, report.WorkerStartedAt = l.allRunsKnown(), l.token, l.startedAt
+	report.EndsCut = l.endsCut && !l.endsListed
 	if l.workerChanged || report.RunsComplete {
 		report.Worker = l.worker
 		l.workerChanged = false
--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -15,6 +15,7 @@
 	incarnation     specifier.Incarnation
 	worker          *specifier.LeasedWorker // nil until reported
 	settled         bool                    // every run is listed, and no start with an earlier fencing token can happen any more
+	endsCut         bool                    // the worker has not listed all its ends to the agent
 	leaving         bool                    // the agent is being stopped
 	listed          bool                    // has sent its list of runs on this stream and in this term
 	enrolling       bool                    // an Enroll or Dismiss command is in the log and not committed
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -38,6 +38,7 @@
 	if len(d.Recorder.EnrolledAgents()) > 0 {
 		d.recoveryUntil = d.now.Add(d.Settings.GrantSpan + d.Settings.GrantMargin)
 		d.wake(d.recoveryUntil, timer{})
+		d.wake(d.endsListedUntil(), timer{})
 	}
 	for _, id := range d.Recorder.OpenJobs() {
 		record := d.Recorder.Job(id)
@@ -65,8 +66,19 @@
 // out no start of an earlier process.
 func (d *Dispatcher) fence(a *agent) uint64 { return d.term*fenceTermFactor + d.epochs[a.name] }
 
+// endsListedUntil returns when a recovering leader stops waiting for agents whose workers have not listed all their ends. A worker lists
+// several pages a second.
+func (d *Dispatcher) endsListedUntil() time.Time {
+	return d.recoveryUntil.Add(d.Settings.GrantSpan + d.Settings.GrantMargin)
+}
+
+// endsMissing reports whether an agent's worker may hold ends of runs that this leader does not know, which no expiry of a lease has made void.
+func (d *Dispatcher) endsMissing(a *agent) bool {
+	return a != nil && a.endsCut && !a.settled && d.now.Before(a.grantUntil.Add(d.Settings.GrantMargin)) && d.now.Before(d.endsListedUntil())
+}
+
 // endRecovery ends the wait of a new leader when every enrolled agent has listed its runs, or at recoveryUntil, when the grants of
-// earlier leaders have ended. An agent that can't hold a lease any more is then dismissed.
+// earlier leaders have ended, and a little later while ends are missing. An agent that can't hold a lease any more is then dismissed.
 func (d *Dispatcher) endRecovery() {
 	if d.recoveryUntil.IsZero() {
 		return
@@ -77,7 +89,7 @@
 		if a != nil && a.listed && a.settled {
 			continue
 		}
-		if !late {
+		if !late || d.endsMissing(a) {
 			return
 		}
 		if a == nil || !d.now.Before(a.grantUntil.Add(d.Settings.GrantMargin)) {
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -20,6 +20,7 @@
 	}
 	d.touch(a)
 	a.settled, a.leaving = a.settled || report.AllRunsKnown && report.RunsComplete && report.Token == d.fence(a), report.Leaving
+	a.endsCut = report.EndsCut
 	if report.Worker != nil {
 		d.updateWorker(a, report.Worker)
 	}
--- a/core/encoder/leasereport.go
+++ b/core/encoder/leasereport.go
@@ -9,7 +9,7 @@
 // EncodeLeaseReport returns the message of one report.
 func EncodeLeaseReport(report specifier.LeaseReport) *QueueReport {
 	m := &QueueReport{Agent: report.Agent, Incarnation: uint64(report.Incarnation), Renewal: report.Renewal, Orders: report.LastOrder,
-		Settled: report.AllRunsKnown, Token: report.Token, Leaving: report.Leaving, Listed: report.RunsComplete, Ends: encodeEnds(report.Ends), Refused: encodeEnds(report.RefusedStarts)}
+		Settled: report.AllRunsKnown, Token: report.Token, Leaving: report.Leaving, Listed: report.RunsComplete, EndsCut: report.EndsCut, Ends: encodeEnds(report.Ends), Refused: encodeEnds(report.RefusedStarts)}
 	if !report.WorkerStartedAt.IsZero() {
 		m.WorkerBorn = report.WorkerStartedAt.UnixNano()
 	}
@@ -26,7 +26,7 @@
 // DecodeLeaseReport returns the report.
 func DecodeLeaseReport(m *QueueReport) specifier.LeaseReport {
 	report := specifier.LeaseReport{Agent: m.Agent, Incarnation: specifier.Incarnation(m.Incarnation), Renewal: m.Renewal, LastOrder: m.Orders,
-		AllRunsKnown: m.Settled, Token: m.Token, Leaving: m.Leaving, RunsComplete: m.Listed, Ends: decodeEnds(m.Ends), RefusedStarts: decodeEnds(m.Refused)}
+		AllRunsKnown: m.Settled, Token: m.Token, Leaving: m.Leaving, RunsComplete: m.Listed, EndsCut: m.EndsCut, Ends: decodeEnds(m.Ends), RefusedStarts: decodeEnds(m.Refused)}
 	if m.WorkerBorn != 0 {
 		report.WorkerStartedAt = time.Unix(0, m.WorkerBorn)
 	}
--- a/core/encoder/queue_test.go
+++ b/core/encoder/queue_test.go
@@ -40,7 +40,7 @@
 	})
 	t.Run("report", func(t *testing.T) {
 		key := specifier.RunKey{Task: "t", Run: 2}
-		report := specifier.LeaseReport{Agent: "a", Incarnation: 1, Renewal: 2, LastOrder: 3, AllRunsKnown: true, Token: 4, Leaving: true, RunsComplete: true, WorkerStartedAt: time.Unix(5, 0),
+		report := specifier.LeaseReport{Agent: "a", Incarnation: 1, Renewal: 2, LastOrder: 3, AllRunsKnown: true, Token: 4, Leaving: true, RunsComplete: true, EndsCut: true, WorkerStartedAt: time.Unix(5, 0),
 			Worker: &specifier.LeasedWorker{ID: "w", StartedAt: time.Unix(5, 0), Pool: "p", Capacity: specifier.Resources{MilliCores: 1}, Labels: []string{"l"}, Draining: true},
 			Runs:   []specifier.LeasedRun{{Key: key, Checkpoint: "s", Resources: specifier.Resources{Memory: 1}, Starting: true, Stopping: true}},
 			Ends:   []specifier.RunEnd{{Number: 1, Key: key, Kind: specifier.EndFailed, Checkpoint: "s"}}, RefusedStarts: []specifier.RunEnd{{Key: key, Kind: specifier.EndRefusedLate}}}
--- a/core/specifier/leasereport.go
+++ b/core/specifier/leasereport.go
@@ -14,6 +14,7 @@
 	Worker       *LeasedWorker
 	// WorkerStartedAt is the start of the worker incarnation whose runs and ends the report lists. Zero if the agent does not know it.
 	WorkerStartedAt time.Time
+	EndsCut         bool // the worker holds ends that it has not listed to this process of the agent yet
 	RunsComplete    bool // Runs is the complete list
 	Runs            []LeasedRun
 	Ends            []RunEnd
--- a/local/simulator/fakecaller_test.go
+++ b/local/simulator/fakecaller_test.go
@@ -13,6 +13,7 @@
 	id         string
 	transient  bool
 	runTime    time.Duration // of each of its tasks; 0 for a random time
+	width      int           // small tasks in its first step; 0 for a step of a few large ones
 	stream     dispatcher.Stream
 	leader     *fakeLeader
 	term       uint64
@@ -34,6 +35,15 @@
 	return 250 * time.Millisecond
 }
 
+// steps returns the steps of the caller's job. The second one is a single task that waits for the first step.
+func (c *fakeCaller) steps() []specifier.Step {
+	first := specifier.Step{Count: 3, Resources: specifier.Resources{MilliCores: 1500, Memory: 1}, Estimate: c.estimate()}
+	if c.width > 0 {
+		first.Count, first.Resources.MilliCores = c.width, smallTaskCores
+	}
+	return []specifier.Step{first, {Count: 1, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}, Estimate: c.estimate(), After: []int{0}}}
+}
+
 // runTimeOf returns how long a run of a job takes.
 func (w *world) runTimeOf(id string) time.Duration {
 	for _, caller := range w.callers {
@@ -81,9 +91,7 @@
 		c.sentBefore = true
 		w.after(w.randomDuration(time.Millisecond, 4*time.Millisecond), func() {
 			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: queueHost, Path: queuePrefix + c.id,
-				TimeLeft: callerTimeLeft, Age: w.now.Sub(c.startedAt), Resubmitted: sentBefore, Job: specifier.QueuedJob{Transient: c.transient, Content: c.id,
-					Steps: []specifier.Step{{Count: 3, Resources: specifier.Resources{MilliCores: 1500, Memory: 1}, Estimate: c.estimate()},
-						{Count: 1, Resources: specifier.Resources{MilliCores: 1000, Memory: 1}, Estimate: c.estimate(), After: []int{0}}}}}})
+				TimeLeft: callerTimeLeft, Age: w.now.Sub(c.startedAt), Resubmitted: sentBefore, Job: specifier.QueuedJob{Transient: c.transient, Content: c.id, Steps: c.steps()}}})
 		})
 	}
 	w.after(resendInterval, c.submit)
--- a/local/simulator/schedule_test.go
+++ b/local/simulator/schedule_test.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// Guards against a task that is started again because the worker had no room for its end in a list, and against a job that stands still
+// because the ends beyond the first list are never asked for.
+func TestEndsInPages(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed)
+			w.scheduleWideJobs()
+			w.finishSchedule()
+		})
+	}
+}
+
 // runSchedule runs one schedule of callers and faults, and checks the guarantees.
 func runSchedule(t *testing.T, seed uint64) {
 	t.Helper()
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -37,6 +37,10 @@
 	cancelledJobs = 2
 	// endsPerSmallPage is the number of ends in one answer of most worlds' workers. A page that is full may have a next one.
 	endsPerSmallPage = 2
+	// wideJobs have wideJobTasks tasks each, all of which fit into the workers together.
+	wideJobs       = 6
+	wideJobTasks   = 24
+	smallTaskCores = 100 // in thousandths
 )
 
 // world simulates the controllers, agents, workers and callers of one schedule.
@@ -259,6 +263,20 @@
 	}
 }
 
+// scheduleWideJobs adds recorded jobs of many tasks that take equally long, so that their ends need several pages. An agent is restarted
+// or becomes unreachable, or the leader is deposed, around the ends of most of them.
+func (w *world) scheduleWideJobs() {
+	for i := range wideJobs {
+		caller := &fakeCaller{world: w, id: fmt.Sprintf("d%015x", i+1), runTime: w.randomDuration(minRunTime, 600*time.Millisecond), width: wideJobTasks}
+		w.callers = append(w.callers, caller)
+		at := w.randomDuration(time.Second, faultTime-time.Second)
+		w.after(at, caller.start)
+		agent := w.agents[w.random.IntN(len(w.agents))]
+		fault := []func(){agent.restart, agent.partition, w.depose, func() {}}[w.random.IntN(4)]
+		w.after(at+caller.runTime+w.randomDuration(-100*time.Millisecond, 200*time.Millisecond), fault)
+	}
+}
+
 // mustKeepGuarantees checks at the end that every job has its answer and that no recorded job is still open.
 func (w *world) mustKeepGuarantees() {
 	w.t.Helper()
