Take over no runs from a list that a newer one has overtaken

Cause: polls of a worker overlap, and an answer can be overtaken by that of a later poll. The agent compared its runs with the older list all the same: a run whose end was already acknowledged was found again and reported as in progress until the next poll. A leader counted its unknown resources against the worker, and a new leader could adopt it.

Change: a list that may be older than the newest one, by the call and by the worker's clock, adds its ends, which are numbered, and nothing else.

--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -52,7 +52,7 @@
 	connected    bool
 	token        uint64 // highest fencing token received from a controller
 	incarnations uint64 // incarnations of the worker that this process has seen
-	polledToken  uint64 // highest token of an answered poll
+	polledToken  uint64 // highest token of a poll whose list was applied
 	grantEnd     time.Time
 	renewal      uint64               // number of the last renewal
 	renewals     map[uint64]time.Time // send times of the renewals that have no grant yet
@@ -68,6 +68,8 @@
 	runs            map[specifier.RunKey]*trackedRun
 	ends            []specifier.RunEnd // not yet acknowledged by the controller
 	lastListed      uint64             // highest end that the worker listed
+	listedAt        time.Time          // when the newest list of runs was applied
+	listedClock     time.Duration      // reading of the worker's clock in that list
 	endsCut         bool               // the last list of ends was cut
 	endsListed      bool               // a list of ends was not cut, so that this process has seen the ends before it too
 	acknowledged    uint64             // highest end that the controller has recorded
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -44,16 +44,15 @@
 		return
 	}
 	l.answeredAt, l.failedPolls = l.now, 0
-	known := l.runsListed()
-	l.polledToken = max(l.polledToken, result.Token)
-	l.endsCut = result.Completeness == ListCut
-	l.endsListed = l.endsListed || !l.endsCut
+	known, late := l.runsListed(), l.listIsLate(result)
 	newEnds := l.addEnds(result.Ends)
 	// The ends are reported before the list of runs: a run that is not listed and has no end would be started again.
 	if len(newEnds) > 0 {
 		l.report(specifier.LeaseReport{Ends: newEnds})
 	}
-	l.compareRuns(result)
+	if !late {
+		l.listed(result)
+	}
 	if !known && l.runsListed() {
 		l.renewIfConnected()
 	}
@@ -63,6 +62,21 @@
 	}
 }
 
+// listIsLate reports whether a list may be older than the newest one, which has overtaken it. Ends are numbered, so that they can be added all
+// the same.
+func (l *LeaseHolder) listIsLate(result PollResult) bool {
+	return result.CalledAt.Before(l.listedAt) && result.Clock <= l.listedClock
+}
+
+// listed applies the newest list of the worker's runs.
+func (l *LeaseHolder) listed(result PollResult) {
+	l.listedAt, l.listedClock = l.now, result.Clock
+	l.polledToken = max(l.polledToken, result.Token)
+	l.endsCut = result.Completeness == ListCut
+	l.endsListed = l.endsListed || !l.endsCut
+	l.compareRuns(result)
+}
+
 // workerRestarted drops the runs, the ends and the clock of an earlier incarnation of the worker.
 func (l *LeaseHolder) workerRestarted(startedAt time.Time) {
 	if !l.startedAt.IsZero() {
@@ -73,6 +87,7 @@
 	l.restartLeaseEnd = l.now.Add(time.Duration(float64(l.MaxLease)/minClockRate) + maxStartTime)
 	l.ends, l.lastListed, l.acknowledged, l.leaseEnd = nil, 0, 0, 0
 	l.endsCut, l.endsListed = false, false
+	l.listedAt, l.listedClock = time.Time{}, 0
 	l.clock = workerClock{}
 	for key, run := range l.runs {
 		if run.state == runRunning {
