Wait for the agent's own leases before all runs count as known

Cause: without a list of its worker that settles it, an agent takes all runs for known 1.2 s after the worker's last answer, since no lease lasts longer. It goes on polling for 0.6 s, though, and a poll whose answer is lost can extend the lease to 1.6 s after that answer. Ends that the worker had not listed were then not void yet, but their tasks were started again. Found by reading, as the last of the conclusions that the agent draws from a cut list; no run of ours showed it.

Evidence: TestLeaseOfAnUnansweredPoll fails without the change.

Change: the agent also waits until the end of the longest lease that it asked for.

--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -28,7 +28,7 @@
 // mustReport requires that the next renewal tells whether every run at the worker is known, and whether ends are missing.
 func (f *fixture) mustReport(known, endsCut bool) {
 	f.t.Helper()
-	f.now = f.holder.renewAt
+	f.now = later(f.now, f.holder.renewAt)
 	reports := find[Report](f.holder.Expire(f.now))
 	must.SliceLen(f.t, 1, reports)
 	must.Eq(f.t, known, reports[0].Report.AllRunsKnown)
@@ -101,6 +101,26 @@
 	})
 }
 
+// Guards against an agent that takes every lease for ended while its worker, which does not answer, may still hold one: a poll whose answer was
+// lost has extended it, so that an end which was not listed is not void yet.
+func TestLeaseOfAnUnansweredPoll(t *testing.T) {
+	f := newFixture(t)
+	f.restart()
+	f.listCut(specifier.RunEnd{Number: 1, Key: key(1), Kind: specifier.EndDone})
+	f.now = f.now.Add(workerTimeout - time.Millisecond)
+	f.holder.Expire(f.now)
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, GrantedRenewal: f.holder.renewal}})
+	f.step(PollResult{Answer: Answer{CalledAt: f.now, Lost: true}})
+	polls := find[Poll](f.actions)
+	must.SliceLen(t, 1, polls)
+	must.Positive(t, polls[0].LeaseEnd)
+	f.now = f.holder.answeredAt.Add(settleDelay)
+	must.Less(t, polls[0].LeaseEnd, f.now.Sub(f.workerStart)) // the lease goes on
+	f.mustReport(false, true)
+	f.now = f.holder.clock.reachedBy(polls[0].LeaseEnd).Add(lapseMargin)
+	f.mustReport(true, true)
+}
+
 // Guards against an acknowledgement that deletes the ends of another incarnation of the worker.
 func TestAcknowledgementOfAnotherIncarnation(t *testing.T) {
 	f := newFixture(t)
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -115,7 +115,9 @@
 	if l.runsListed() {
 		return true
 	}
-	return len(l.runs) == 0 && !l.now.Before(later(l.StartedAt, l.answeredAt).Add(settleDelay))
+	ofOthers := later(l.StartedAt, l.answeredAt).Add(settleDelay)
+	own := l.clock.reachedBy(l.leaseEnd).Add(lapseMargin) // a poll whose answer was lost may have extended the lease
+	return len(l.runs) == 0 && !l.now.Before(later(ofOthers, own))
 }
 
 func later(a, b time.Time) time.Time {
