Keep a leaving agent up while its worker holds ends that are not listed

Cause: an agent that is told to stop ends once nothing runs at its worker and every end that it has listed is acknowledged. With a cut list that holds between two pages. The tasks of the remaining ends would be started again after the agent's grant. Found by reading.

Evidence: TestAgentWithACutListIsNotIdle fails without the change.

--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -101,6 +101,19 @@
 	})
 }
 
+// Guards against an agent that leaves while its worker holds ends that it has not listed, whose tasks are then started again elsewhere.
+func TestAgentWithACutListIsNotIdle(t *testing.T) {
+	f := newFixture(t)
+	first, rest := specifier.RunEnd{Number: 1, Key: key(1), Kind: specifier.EndDone}, specifier.RunEnd{Number: 2, Key: key(2), Kind: specifier.EndDone}
+	f.restart()
+	f.listCut(first)
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, AcknowledgedEnd: 1, AcknowledgedWorkerStart: f.workerStart}})
+	must.False(t, f.holder.Idle())
+	f.listRest(1, rest)
+	f.step(OrderReceived{specifier.LeaseOrder{Token: 2, AcknowledgedEnd: 2, AcknowledgedWorkerStart: f.workerStart}})
+	must.True(t, f.holder.Idle())
+}
+
 // Guards against an agent that takes every lease for ended while its worker, which does not answer, may still hold one: a poll whose answer was
 // lost has extended it, so that an end which was not listed is not void yet.
 func TestLeaseOfAnUnansweredPoll(t *testing.T) {
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -148,8 +148,9 @@
 	return next
 }
 
-// Idle reports whether nothing runs at the worker and the controller has acknowledged every end.
-func (l *LeaseHolder) Idle() bool { return len(l.runs) == 0 && len(l.ends) == 0 }
+// Idle reports whether nothing runs at the worker and the controller has acknowledged every end, also those that the worker has not
+// listed yet.
+func (l *LeaseHolder) Idle() bool { return len(l.runs) == 0 && len(l.ends) == 0 && !l.endsCut }
 
 // WorkerID returns the ID of the worker, or "".
 func (l *LeaseHolder) WorkerID() string {
