Poll a worker for unanswered starts once at a time

Cause: each start without an answer caused an immediate poll, and so did each answered stop, with up to 500 ends in every answer. Stops of runs that can't start any more were repeated every 100 ms while lists were cut. The worker then answered no poll in time for 0.96 s: the agent counted the leases as ended and all its runs as lost (LeasesEnded in the log of two agents), among them those whose ends it had not been told.

Change: one immediate poll is under way at a time; further causes share the next one. A new token or a new incarnation of the worker does not wait. An answered stop of a start without an answer is not repeated, since the run can't start any more.

--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -77,6 +77,8 @@
 	answeredAt      time.Time          // time of the last answer to a poll
 	restartLeaseEnd time.Time          // until then, a start that reached the restarted worker may have a lease
 	polling         bool               // a periodic poll is under way
+	immediatePolls  int                // immediate polls that are under way
+	pollAgain       bool               // another immediate poll is due once these have ended
 	failedPolls     int                // consecutive polls that failed
 	pollAt          time.Time          // when the next poll is due
 	pausedUntil     time.Time          // until then, the next poll waits for the controller to acknowledge the ends
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -24,12 +24,23 @@
 	l.emit(poll)
 }
 
-// pollAnswered applies the result of a poll.
+// pollAnswered applies the result of a poll, and sends the immediate poll that has waited for it.
 func (l *LeaseHolder) pollAnswered(result PollResult) {
-	if !result.Immediate {
+	if result.Immediate {
+		l.immediatePolls--
+	} else {
 		l.polling = false
 		l.pollAt = l.now
 	}
+	l.applyPoll(result)
+	if l.pollAgain && l.immediatePolls <= 0 {
+		l.pollAgain = false
+		l.pollNow()
+	}
+}
+
+// applyPoll applies the result of a poll.
+func (l *LeaseHolder) applyPoll(result PollResult) {
 	if !l.accept(result.Answer) || result.Refused || result.OtherIncarnation {
 		if !result.Immediate {
 			if l.failedPolls++; l.failedPolls >= maxFailedPolls {
--- a/agent/leaseholder/runs.go
+++ b/agent/leaseholder/runs.go
@@ -50,7 +50,7 @@
 	case event.Lost:
 		run.state = runUnanswered
 		l.emit(LogEvent{Event: "StartUnanswered", Task: event.Key.Task, Run: event.Key.Run, Age: l.now.Sub(event.CalledAt)})
-		l.pollNow()
+		l.pollSoon()
 	case event.Refused:
 		delete(l.runs, event.Key)
 		l.emit(LogEvent{Event: "StartRefused", Task: event.Key.Task, Run: event.Key.Run, Detail: event.Kind.String()})
@@ -85,10 +85,24 @@
 		return
 	}
 	run.stoppedAt = l.now
+	if run.state == runUnanswered {
+		run.stopRetryAt = time.Time{} // it can't start any more, and the next lists tell whether it has
+	}
+	l.pollSoon()
+}
+
+// pollSoon polls the worker immediately, or once the immediate poll that is under way has ended: a poll for each of many unanswered starts
+// would overload the worker.
+func (l *LeaseHolder) pollSoon() {
+	if l.immediatePolls > 0 {
+		l.pollAgain = true
+		return
+	}
 	l.pollNow()
 }
 
 // pollNow polls the worker immediately, without extending its leases.
 func (l *LeaseHolder) pollNow() {
+	l.immediatePolls++
 	l.emit(Poll{Token: l.workerToken(), Acknowledged: l.acknowledged, Immediate: true, WorkerID: l.WorkerID()})
 }
