Log when a worker's list of ends is cut, and when it has listed the rest

Cause: no line of the logs told a cut list from a complete one, so that a run that was started again could not be traced to it.

Change: the agent logs EndsCut when the lists begin to be cut and EndsListed when they cease. TestCutListOfEnds requires both.

--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -12,9 +12,12 @@
 // listCut answers the polls of the last step with a list of ends that continues after the given ones.
 func (f *fixture) listCut(ends ...specifier.RunEnd) {
 	f.now = f.now.Add(time.Millisecond)
+	var actions []Action
 	for _, poll := range find[Poll](f.actions) {
 		f.step(PollResult{Answer: f.answer(), Immediate: poll.Immediate, Token: poll.Token, Ends: ends})
+		actions = append(actions, f.actions...)
 	}
+	f.actions = actions
 }
 
 // listRest acknowledges an end, and answers a poll with the last page, which holds the end after that one.
@@ -43,6 +46,16 @@
 	must.Eq(f.t, []specifier.RunEnd{end}, reports[0].Report.Ends)
 }
 
+// mustLog requires that the last step has logged the event.
+func (f *fixture) mustLog(event string) {
+	f.t.Helper()
+	var logged []string
+	for _, each := range find[LogEvent](f.actions) {
+		logged = append(logged, each.Event)
+	}
+	must.SliceContains(f.t, logged, event)
+}
+
 // restart replaces the agent's process by one that has not heard from its worker yet.
 func (f *fixture) restart() {
 	f.holder = &LeaseHolder{Name: "agent", Incarnation: 2, GrantSpan: f.holder.GrantSpan, MaxLease: f.holder.MaxLease, StartedAt: f.now}
@@ -58,9 +71,11 @@
 		f.restart()
 		f.mustReport(false, false)
 		f.listCut(first)
+		f.mustLog("EndsCut")
 		f.mustReport(false, true)
 		f.listRest(1, rest)
 		f.mustReportEnd(rest)
+		f.mustLog("EndsListed")
 		f.mustReport(true, false)
 	})
 	t.Run("another controller leads", func(t *testing.T) { // which learns of all runs at once: this process has followed them from their starts
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -83,11 +83,23 @@
 func (l *LeaseHolder) listed(result PollResult) {
 	l.listedAt, l.listedClock = l.now, result.Clock
 	l.polledToken = max(l.polledToken, result.Token)
-	l.endsCut = result.Completeness == ListCut
+	if cut := result.Completeness == ListCut; cut != l.endsCut {
+		l.endsCut = cut
+		l.logCut(len(result.Ends))
+	}
 	l.endsListed = l.endsListed || !l.endsCut
 	l.compareRuns(result)
 }
 
+// logCut logs that the lists of ends have begun or ceased to be cut. Until they cease, nothing is concluded from runs that are not listed.
+func (l *LeaseHolder) logCut(listed int) {
+	event := "EndsCut"
+	if !l.endsCut {
+		event = "EndsListed"
+	}
+	l.emit(LogEvent{Event: event, Detail: l.WorkerID(), Count: listed})
+}
+
 // workerRestarted drops the runs, the ends and the clock of an earlier incarnation of the worker.
 func (l *LeaseHolder) workerRestarted(startedAt time.Time) {
 	if !l.startedAt.IsZero() {
