--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -19,12 +19,6 @@
 	maxStopDelay    = 50 * time.Millisecond
 )
 
-// endContext is what the checks of a run's end need to know of the time of that end.
-type endContext struct {
-	expiries int // how often the worker's lease had expired
-	starts   int // how often the task had been started
-}
-
 // workerRun is a run of a task on one incarnation of a worker.
 type workerRun struct {
 	key         specifier.RunKey
--- a/local/simulator/schedule_test.go
+++ b/local/simulator/schedule_test.go
@@ -13,11 +13,7 @@
 
 // Guards against a task that runs twice, a worker over its capacity, a start after an acknowledged end, a refused job that ran,
 // and a job that is never answered or never ends. Leaders, agents and workers fail meanwhile, and calls are carried out late.
-func TestQueueGuarantees(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed) })
-	}
-}
+func TestQueueGuarantees(t *testing.T) { runSchedules(t, (*world).schedule) }
 
 // failedSeeds maps the seed of each schedule that once failed to the fault that it revealed.
 var failedSeeds = map[uint64]string{
@@ -27,45 +23,31 @@
 // Guards against regressions: each of these schedules once revealed a fault.
 func TestFailedSchedules(t *testing.T) {
 	for seed := range failedSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed, (*world).schedule) })
 	}
 }
 
 // Guards against a task of a cancelled job that runs on because the order to stop it was lost: its agent was restarted or away, its stream
 // broke, or another controller led by then.
-func TestCancelledJobsStop(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newWorld(t, seed)
-			w.scheduleCancellations()
-			w.finishSchedule()
-		})
-	}
-}
+func TestCancelledJobsStop(t *testing.T) { runSchedules(t, (*world).scheduleCancellations) }
 
 // Guards against a task that is started again because the worker had no room for its end in a list, and against a job that stands still
 // because the ends beyond the first list are never asked for.
-func TestEndsInPages(t *testing.T) {
+func TestEndsInPages(t *testing.T) { runSchedules(t, (*world).scheduleWideJobs) }
+
+// runSchedules runs the schedules that the flags ask for, each as a subtest.
+func runSchedules(t *testing.T, add func(*world)) {
+	t.Helper()
 	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newWorld(t, seed)
-			w.scheduleWideJobs()
-			w.finishSchedule()
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed, add) })
 	}
 }
 
-// runSchedule runs one schedule of callers and faults, and checks the guarantees.
-func runSchedule(t *testing.T, seed uint64) {
+// runSchedule runs one schedule of callers and faults, first with faults, then without, and checks the guarantees.
+func runSchedule(t *testing.T, seed uint64, add func(*world)) {
 	t.Helper()
 	w := newWorld(t, seed)
-	w.schedule()
-	w.finishSchedule()
-}
-
-// finishSchedule runs the world first with faults, then without, then checks the guarantees.
-func (w *world) finishSchedule() {
-	w.t.Helper()
+	add(w)
 	w.run(w.now.Add(faultTime))
 	w.faultsEnabled = false
 	w.run(w.now.Add(settleTime))
