--- a/agent/leaseholder/announcement.go
+++ b/agent/leaseholder/announcement.go
@@ -12,6 +12,7 @@
 	first := l.worker == nil || l.worker.ID != worker.ID || !l.worker.StartedAt.Equal(worker.StartedAt)
 	draining := l.worker != nil && l.worker.Draining
 	l.worker, l.sequence = &worker, event.Sequence
+	l.coldUntil = l.now.Add(worker.ColdFor)
 	if first {
 		l.emit(LogEvent{Event: "WorkerAnnounced", Detail: worker.ID})
 		l.answeredAt = l.now
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -46,6 +46,7 @@
 	GrantSpan   time.Duration // duration of a controller's grant
 	MaxLease    time.Duration // longest lease that the worker gives
 	StartedAt   time.Time     // when this agent process started, on the clock of Step
+	Zone        string        // availability zone of the agent's host
 
 	now          time.Time
 	actions      []Action
@@ -62,7 +63,8 @@
 	leaving      bool
 
 	worker          *specifier.LeasedWorker
-	sequence        uint64 // sequence number of the worker's last announcement
+	sequence        uint64    // sequence number of the worker's last announcement
+	coldUntil       time.Time // when the worker reaches its full speed, by its last announcement
 	clock           workerClock
 	startedAt       time.Time // start of the newest known incarnation of the worker
 	runs            map[specifier.RunKey]*trackedRun
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -37,14 +37,24 @@
 	}
 	report.Agent, report.Incarnation, report.LastOrder, report.Leaving = l.Name, l.Incarnation, l.orders, l.leaving
 	report.AllRunsKnown, report.Token, report.WorkerStartedAt = l.allRunsKnown(), l.token, l.startedAt
-	report.EndsCut = l.endsCut && !l.endsListed
+	report.EndsCut, report.Zone = l.endsCut && !l.endsListed, l.Zone
 	if l.workerChanged || report.RunsComplete {
-		report.Worker = l.worker
+		report.Worker = l.describeWorker()
 		l.workerChanged = false
 	}
 	l.emit(Report{Report: report})
 }
 
+// describeWorker returns the worker as reports describe it, or nil.
+func (l *LeaseHolder) describeWorker() *specifier.LeasedWorker {
+	if l.worker == nil {
+		return nil
+	}
+	worker := *l.worker
+	worker.ColdFor = max(l.coldUntil.Sub(l.now), 0)
+	return &worker
+}
+
 // orderReceived carries out an order. Orders of an earlier leader are ignored.
 func (l *LeaseHolder) orderReceived(order specifier.LeaseOrder) {
 	if order.Token < l.token || !l.connected {
--- a/agent/leaserunner/runner.go
+++ b/agent/leaserunner/runner.go
@@ -36,6 +36,7 @@
 // Runner is the agent beside a worker. Exported fields are set before Run.
 type Runner struct {
 	Name        string
+	Zone        string           // availability zone of the host
 	Seeds       []netip.AddrPort // addresses at which the search for the leader begins
 	Credentials credentials.TransportCredentials
 	Worker      Worker
@@ -95,7 +96,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	group, ctx := supervisor.WithContext(ctx)
 	r.calls, r.ctx = group, ctx
-	holder := &leaseholder.LeaseHolder{Name: r.Name, Incarnation: specifier.Incarnation(rand.Uint64()), GrantSpan: r.GrantSpan,
+	holder := &leaseholder.LeaseHolder{Name: r.Name, Zone: r.Zone, Incarnation: specifier.Incarnation(rand.Uint64()), GrantSpan: r.GrantSpan,
 		MaxLease: r.MaxLease, StartedAt: r.Clock()}
 	loop := &looper.Loop[event, action]{Machine: &machine{holder: holder}, Mailbox: r.mailbox, Perform: r.perform, Clock: r.Clock}
 	group.Go(func() error { return loop.Run(ctx) })
--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -17,6 +17,8 @@
 	settled         bool                    // every run is listed, and no start with an earlier fencing token can happen any more
 	endsCut         bool                    // the worker has not listed all its ends to the agent
 	leaving         bool                    // the agent is being stopped
+	zone            string                  // availability zone of its host; empty if it has not said
+	coldUntil       time.Time               // when the worker reaches its full speed, by its own account
 	listed          bool                    // has sent its list of runs on this stream and in this term
 	enrolling       bool                    // an Enroll or Dismiss command is in the log and not committed
 	noStartsUntil   time.Time               // after a refused start, because another one would be refused too
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -20,7 +20,7 @@
 	}
 	d.touch(a)
 	a.settled, a.leaving = a.settled || report.AllRunsKnown && report.RunsComplete && report.Token == d.fence(a), report.Leaving
-	a.endsCut = report.EndsCut
+	a.endsCut, a.zone = report.EndsCut, report.Zone
 	if report.Worker != nil {
 		d.updateWorker(a, report.Worker)
 	}
@@ -111,7 +111,7 @@
 	if a.worker == nil || !slices.Equal(a.worker.Labels, worker.Labels) {
 		a.indexedFree = 0 // tasks that could not run there may now
 	}
-	a.worker = worker
+	a.worker, a.coldUntil = worker, d.now.Add(worker.ColdFor)
 	d.joinPool(a, d.pool(worker.Pool))
 }
 
--- a/core/encoder/leaseorder.go
+++ b/core/encoder/leaseorder.go
@@ -8,7 +8,8 @@
 
 // EncodeLeaseOrder returns the message of one order.
 func EncodeLeaseOrder(order specifier.LeaseOrder) *QueueOrder {
-	m := &QueueOrder{Token: order.Token, Granted: order.GrantedRenewal, Orders: order.OrderCount, Noted: order.AcknowledgedEnd, RenewAfter: int64(order.RenewAfter)}
+	m := &QueueOrder{Token: order.Token, Granted: order.GrantedRenewal, Orders: order.OrderCount, Noted: order.AcknowledgedEnd, RenewAfter: int64(order.RenewAfter),
+		Evacuated: order.Evacuated, EvacuationVersion: order.EvacuationVersion}
 	if !order.AcknowledgedWorkerStart.IsZero() {
 		m.NotedBorn = order.AcknowledgedWorkerStart.UnixNano()
 	}
@@ -24,7 +25,8 @@
 // DecodeLeaseOrder returns the order.
 func DecodeLeaseOrder(m *QueueOrder) specifier.LeaseOrder {
 	order := specifier.LeaseOrder{Token: m.Token, GrantedRenewal: m.Granted, OrderCount: m.Orders, AcknowledgedEnd: m.Noted,
-		RenewAfter: min(max(time.Duration(m.RenewAfter), 0), specifier.MaxAdvance)}
+		RenewAfter: min(max(time.Duration(m.RenewAfter), 0), specifier.MaxAdvance),
+		Evacuated:  m.Evacuated, EvacuationVersion: m.EvacuationVersion}
 	if m.NotedBorn != 0 {
 		order.AcknowledgedWorkerStart = time.Unix(0, m.NotedBorn)
 	}
--- a/core/encoder/leasereport.go
+++ b/core/encoder/leasereport.go
@@ -9,13 +9,14 @@
 // EncodeLeaseReport returns the message of one report.
 func EncodeLeaseReport(report specifier.LeaseReport) *QueueReport {
 	m := &QueueReport{Agent: report.Agent, Incarnation: uint64(report.Incarnation), Renewal: report.Renewal, Orders: report.LastOrder,
-		Settled: report.AllRunsKnown, Token: report.Token, Leaving: report.Leaving, Listed: report.RunsComplete, EndsCut: report.EndsCut, Ends: encodeEnds(report.Ends), Refused: encodeEnds(report.RefusedStarts)}
+		Settled: report.AllRunsKnown, Token: report.Token, Leaving: report.Leaving, Listed: report.RunsComplete, EndsCut: report.EndsCut, Ends: encodeEnds(report.Ends), Refused: encodeEnds(report.RefusedStarts),
+		Zone: report.Zone, EvacuationVersion: report.EvacuationVersion}
 	if !report.WorkerStartedAt.IsZero() {
 		m.WorkerBorn = report.WorkerStartedAt.UnixNano()
 	}
 	if worker := report.Worker; worker != nil {
 		m.Worker = &QueueWorker{ID: worker.ID, Born: worker.StartedAt.UnixNano(), Pool: worker.Pool, Capacity: EncodeResources(worker.Capacity),
-			Labels: worker.Labels, Draining: worker.Draining}
+			Labels: worker.Labels, Draining: worker.Draining, ColdFor: int64(worker.ColdFor)}
 	}
 	for _, run := range report.Runs {
 		m.Runs = append(m.Runs, &QueueRun{Task: run.Key.Task, Run: run.Key.Run, Saved: run.Checkpoint, Room: EncodeResources(run.Resources), Starting: run.Starting, Stopping: run.Stopping})
@@ -26,13 +27,15 @@
 // DecodeLeaseReport returns the report.
 func DecodeLeaseReport(m *QueueReport) specifier.LeaseReport {
 	report := specifier.LeaseReport{Agent: m.Agent, Incarnation: specifier.Incarnation(m.Incarnation), Renewal: m.Renewal, LastOrder: m.Orders,
-		AllRunsKnown: m.Settled, Token: m.Token, Leaving: m.Leaving, RunsComplete: m.Listed, EndsCut: m.EndsCut, Ends: decodeEnds(m.Ends), RefusedStarts: decodeEnds(m.Refused)}
+		AllRunsKnown: m.Settled, Token: m.Token, Leaving: m.Leaving, RunsComplete: m.Listed, EndsCut: m.EndsCut, Ends: decodeEnds(m.Ends), RefusedStarts: decodeEnds(m.Refused),
+		Zone: m.Zone, EvacuationVersion: m.EvacuationVersion}
 	if m.WorkerBorn != 0 {
 		report.WorkerStartedAt = time.Unix(0, m.WorkerBorn)
 	}
 	if worker := m.Worker; worker != nil {
 		report.Worker = &specifier.LeasedWorker{ID: worker.ID, StartedAt: time.Unix(0, worker.Born), Pool: worker.Pool,
-			Capacity: DecodeResources(worker.Capacity), Labels: worker.Labels, Draining: worker.Draining}
+			Capacity: DecodeResources(worker.Capacity), Labels: worker.Labels, Draining: worker.Draining,
+			ColdFor: min(max(time.Duration(worker.ColdFor), 0), specifier.MaxTimeLeft)}
 	}
 	for _, run := range m.Runs {
 		report.Runs = append(report.Runs, specifier.LeasedRun{Key: specifier.RunKey{Task: run.Task, Run: run.Run}, Checkpoint: run.Saved,
--- a/core/encoder/queue_test.go
+++ b/core/encoder/queue_test.go
@@ -28,7 +28,7 @@
 		}
 	})
 	t.Run("call", func(t *testing.T) {
-		call := specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: "/p/a", Job: queuedJob, TimeLeft: time.Second, Age: time.Minute}
+		call := specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: "/p/a", Job: queuedJob, TimeLeft: time.Second, Age: time.Minute, Zone: "z"}
 		decoded, err := DecodeQueueCall(EncodeQueueCall(1, call))
 		must.NoError(t, err)
 		must.Eq(t, call, decoded)
@@ -41,14 +41,16 @@
 	t.Run("report", func(t *testing.T) {
 		key := specifier.RunKey{Task: "t", Run: 2}
 		report := specifier.LeaseReport{Agent: "a", Incarnation: 1, Renewal: 2, LastOrder: 3, AllRunsKnown: true, Token: 4, Leaving: true, RunsComplete: true, EndsCut: true, WorkerStartedAt: time.Unix(5, 0),
-			Worker: &specifier.LeasedWorker{ID: "w", StartedAt: time.Unix(5, 0), Pool: "p", Capacity: specifier.Resources{MilliCores: 1}, Labels: []string{"l"}, Draining: true},
-			Runs:   []specifier.LeasedRun{{Key: key, Checkpoint: "s", Resources: specifier.Resources{Memory: 1}, Starting: true, Stopping: true}},
-			Ends:   []specifier.RunEnd{{Number: 1, Key: key, Kind: specifier.EndFailed, Checkpoint: "s"}}, RefusedStarts: []specifier.RunEnd{{Key: key, Kind: specifier.EndRefusedLate}}}
+			Worker: &specifier.LeasedWorker{ID: "w", StartedAt: time.Unix(5, 0), Pool: "p", Capacity: specifier.Resources{MilliCores: 1}, Labels: []string{"l"}, Draining: true, ColdFor: time.Second},
+			Zone:   "z", EvacuationVersion: 6,
+			Runs: []specifier.LeasedRun{{Key: key, Checkpoint: "s", Resources: specifier.Resources{Memory: 1}, Starting: true, Stopping: true}},
+			Ends: []specifier.RunEnd{{Number: 1, Key: key, Kind: specifier.EndFailed, Checkpoint: "s"}}, RefusedStarts: []specifier.RunEnd{{Key: key, Kind: specifier.EndRefusedLate}}}
 		must.Eq(t, report, DecodeLeaseReport(EncodeLeaseReport(report)))
 	})
 	t.Run("order", func(t *testing.T) {
 		key := specifier.RunKey{Task: "t", Run: 2}
 		order := specifier.LeaseOrder{Token: 1, GrantedRenewal: 2, OrderCount: 3, AcknowledgedEnd: 4, AcknowledgedWorkerStart: time.Unix(5, 0), Stops: []specifier.RunKey{key},
+			Evacuated: true, EvacuationVersion: 7,
 			Starts: []specifier.RunStart{{Key: key, Content: "c", Checkpoint: "s", Resources: specifier.Resources{Accelerators: 1}}}}
 		must.Eq(t, order, DecodeLeaseOrder(EncodeLeaseOrder(order)))
 	})
--- a/core/specifier/leasedworker.go
+++ b/core/specifier/leasedworker.go
@@ -10,4 +10,5 @@
 	Capacity  Resources
 	Labels    []string
 	Draining  bool
+	ColdFor   time.Duration // time until the worker reaches its full speed, when the message was made
 }
--- a/core/specifier/leaseorder.go
+++ b/core/specifier/leaseorder.go
@@ -12,4 +12,6 @@
 	AcknowledgedEnd         uint64        // ends up to this number need not be reported again
 	AcknowledgedWorkerStart time.Time     // StartedAt of the worker incarnation whose ends are acknowledged
 	RenewAfter              time.Duration // time between two renewals; 0 leaves it to the agent
+	Evacuated               bool          // the agent's availability zone is evacuated: no task may be started
+	EvacuationVersion       uint64        // version of the state that Evacuated describes
 }
--- a/core/specifier/leasereport.go
+++ b/core/specifier/leasereport.go
@@ -19,4 +19,7 @@
 	Runs            []LeasedRun
 	Ends            []RunEnd
 	RefusedStarts   []RunEnd // starts that did not happen
+	Zone            string   // availability zone of the agent's host
+	// EvacuationVersion is the newest that the agent has applied while none of its starts was under way.
+	EvacuationVersion uint64
 }
--- a/core/specifier/queuecall.go
+++ b/core/specifier/queuecall.go
@@ -13,4 +13,6 @@
 	Manifest *Manifest     // with PutManifest
 	// Resubmitted reports that the entry has sent the call before, perhaps to another controller.
 	Resubmitted bool
+	// Zone is the availability zone that EvacuateZone or RestoreZone names; otherwise that of the entry.
+	Zone string
 }
--- a/core/specifier/queuecommand.go
+++ b/core/specifier/queuecommand.go
@@ -15,4 +15,6 @@
 	Announced []string
 	// Announcing says whether the leader announces the jobs that it may start; 0 changes nothing.
 	Announcing Announcing
+	Evacuate   string // availability zone in which no task may be started from now on
+	Restore    string // availability zone that is no longer evacuated
 }
--- a/core/specifier/queueverb.go
+++ b/core/specifier/queueverb.go
@@ -11,4 +11,6 @@
 	PutManifest
 	GetManifest
 	AbandonQueued // the caller of a transient job has disconnected
+	EvacuateZone  // start no task in an availability zone
+	RestoreZone   // withdraw EvacuateZone
 )
