Let an accepted job go on under the terms of its queue when the queue is removed

Cause: a recorded job named its queue only; attempts, pool, host and prefix came from the manifest in force. When the queue was removed, one failed run failed the job, a new leader put its tasks into a pool without workers, and a DELETE was answered 404 while the task ran on.

A queue of another name at the same host and prefix gives access to the job.

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -37,6 +38,9 @@
 		return
 	}
 	queue, id, found := d.Recorder.Manifest().QueueForPath(event.Call.Host, event.Call.Path)
+	if !found && event.Call.Verb == specifier.CancelQueued && d.cancelInRemovedQueue(from, event.Call) {
+		return
+	}
 	if !found {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueNotFound, Detail: "no such queue"})
 		return
@@ -89,7 +93,7 @@
 		return
 	}
 	record := d.Recorder.Job(id)
-	if record == nil || record.Job.Queue != queue.Name {
+	if record == nil || !record.Job.BelongsTo(queue) {
 		d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
 		return
 	}
@@ -117,7 +121,7 @@
 // cancel cancels a transient job immediately. The cancellation of a recorded job is proposed, and the reply follows when it is committed.
 func (d *Dispatcher) cancel(from waiter, queue specifier.Queue, id string) {
 	record, j := d.Recorder.Job(id), d.jobs[id]
-	known := record != nil && record.Job.Queue == queue.Name || j != nil && j.Queue == queue.Name
+	known := record != nil && record.Job.BelongsTo(queue) || j != nil && j.BelongsTo(queue)
 	switch {
 	case !known:
 		d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
@@ -128,14 +132,40 @@
 	case record != nil && record.State.Ended() || j == nil:
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: record.State})
 	default:
-		j.cancelled = true
-		d.dequeueJob(j)
 		j.waiters = append(j.waiters, from)
 		d.calls[from] = j
-		d.propose(specifier.QueueCommand{Cancel: id})
+		d.proposeCancellation(j)
 	}
 }
 
+// proposeCancellation proposes to cancel a recorded job, none of whose tasks is started meanwhile.
+func (d *Dispatcher) proposeCancellation(j *job) {
+	j.cancelled = true
+	d.dequeueJob(j)
+	d.propose(specifier.QueueCommand{Cancel: j.ID})
+}
+
+// queueRemoved is the reply to a cancellation by the path of a queue that was removed, once nothing of the job can start any more.
+var queueRemoved = specifier.QueueReply{Result: specifier.JobNotFound, Detail: "the queue was removed, and the job is not running"}
+
+// cancelInRemovedQueue cancels a recorded job by the path that it was submitted to, although the manifest does not define its queue any
+// more, and reports whether there is such a job. Otherwise nobody could cancel a job that goes on under the terms of a removed queue. The reply does not
+// count as service by the removed queue.
+func (d *Dispatcher) cancelInRemovedQueue(from waiter, call specifier.QueueCall) bool {
+	record := d.Recorder.Job(path.Base(call.Path))
+	if record == nil || !record.Job.SubmittedAt(call.Host, call.Path) {
+		return false
+	}
+	j := d.jobs[record.Job.ID]
+	if record.State.Ended() || j == nil {
+		d.reply(from, queueRemoved)
+		return true
+	}
+	j.removedQueueWaiters = append(j.removedQueueWaiters, from)
+	d.proposeCancellation(j)
+	return true
+}
+
 // abandon removes a call whose caller no longer waits. A transient job without waiting calls starts no further task.
 func (d *Dispatcher) abandon(from waiter) {
 	j := d.calls[from]
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -141,6 +141,10 @@
 	case command.Cancel != "":
 		if j := d.jobs[command.Cancel]; j != nil {
 			d.answer(j, busy)
+			for _, from := range j.removedQueueWaiters {
+				d.reply(from, busy)
+			}
+			j.removedQueueWaiters = nil
 			j.cancelled = false
 			d.enqueueUnblocked(j)
 		}
--- a/controller/dispatcher/fixture_test.go
+++ b/controller/dispatcher/fixture_test.go
@@ -18,7 +18,9 @@
 	now     time.Time
 	leading bool
 	renewal uint64
-	actions []Action
+	// endNumber is that of the last end that agent 1 reported.
+	endNumber uint64
+	actions   []Action
 	// estimate is the estimate of submitted tasks.
 	estimate time.Duration
 }
--- a/controller/dispatcher/job.go
+++ b/controller/dispatcher/job.go
@@ -16,19 +16,21 @@
 	expiresAt    time.Time     // a transient job that has not started by then is refused
 	waiters      []waiter
 	watchers     []watcher
-	tasks        [][]*task
-	openTasks    []int // number of tasks that are not done, by step
-	remaining    int   // number of tasks that are not done
-	started      bool  // at least one task was started
-	recorded     bool
-	held         bool // starts nothing before the recovery has ended
-	unannounced  bool // starts nothing before its announcement is committed
-	cancelled    bool // its cancellation is proposed or committed
-	ended        bool
-	outcome      specifier.QueueReply // once ended
-	evictAt      time.Time            // when it is deleted, once ended or abandoned
-	lateAt       time.Time            // from then on it can't end within its objective
-	lastAgent    *agent               // where its last task was started
+	// removedQueueWaiters are the cancellations that came by the path of a queue that the manifest does not define any more.
+	removedQueueWaiters []waiter
+	tasks               [][]*task
+	openTasks           []int // number of tasks that are not done, by step
+	remaining           int   // number of tasks that are not done
+	started             bool  // at least one task was started
+	recorded            bool
+	held                bool // starts nothing before the recovery has ended
+	unannounced         bool // starts nothing before its announcement is committed
+	cancelled           bool // its cancellation is proposed or committed
+	ended               bool
+	outcome             specifier.QueueReply // once ended
+	evictAt             time.Time            // when it is deleted, once ended or abandoned
+	lateAt              time.Time            // from then on it can't end within its objective
+	lastAgent           *agent               // where its last task was started
 }
 
 // expiryFactor times the objective is the time after which the end of a job is useless to its caller.
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -42,8 +42,7 @@
 	}
 	for _, id := range d.Recorder.OpenJobs() {
 		record := d.Recorder.Job(id)
-		queue, _ := d.Recorder.Manifest().QueueByName(record.Job.Queue)
-		j := newJob(record.Job, queue, d.now)
+		j := newJob(record.Job, d.Recorder.QueueOf(record), d.now)
 		j.recorded = true
 		j.started = record.State == specifier.JobRunning
 		d.jobs[id] = j
--- /dev/null
+++ b/controller/dispatcher/removedqueue_test.go
@@ -0,0 +1,92 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/specifier"
+)
+
+// manifest replaces the queues. The fixture's own manifest has version 1.
+func (f *fixture) manifest(version uint64, queues ...specifier.Queue) {
+	f.step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: version, Queues: queues}}})
+}
+
+// end reports the end of the run of a task at agent 1.
+func (f *fixture) end(start specifier.RunStart, kind specifier.EndKind) {
+	f.endNumber++
+	end := specifier.RunEnd{Number: f.endNumber, Key: start.Key, Kind: kind}
+	f.report(1, func(report *specifier.LeaseReport) {
+		report.Runs, report.Ends = nil, []specifier.RunEnd{end}
+	})
+}
+
+func (f *fixture) query(id string) {
+	f.step(CallReceived{Stream: caller, Sequence: 98, Call: specifier.QueueCall{Verb: specifier.QueryQueued, Host: "h", Path: "/q/" + id}})
+}
+
+// mustState requires the state that a query for job a is answered with.
+func (f *fixture) mustState(want specifier.QueueState) {
+	f.t.Helper()
+	f.query("a")
+	if len(find[Reply](f.actions)) == 0 {
+		f.advance(queryTimeout) // the query waits while the job may end at any moment
+	}
+	must.Eq(f.t, want, f.mustReply(specifier.QueueOK).State)
+}
+
+// Guards against an accepted job that fails early, stands still, is denied or can't be cancelled because its queue was removed or renamed.
+func TestRemovedQueue(t *testing.T) {
+	started := func(t *testing.T) (*fixture, specifier.RunStart) {
+		f := newFixture(t, 1)
+		f.submit("a", 1, false)
+		return f, f.starts()[0]
+	}
+	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
+	t.Run("a run fails meanwhile", func(t *testing.T) {
+		f, start := started(t)
+		f.manifest(2)
+		f.end(start, specifier.EndFailed)
+		f.manifest(3, queue)
+		f.mustState(specifier.JobRunning)
+	})
+	t.Run("a new leader", func(t *testing.T) {
+		f := newFixture(t, 0)
+		f.submit("a", 1, false)
+		f.manifest(2)
+		f.step(BecameFollower{})
+		f.step(BecameLeader{Term: 2})
+		f.attach(1)
+		must.SliceLen(t, 1, f.starts())
+	})
+	t.Run("renamed", func(t *testing.T) {
+		f, _ := started(t)
+		renamed := queue
+		renamed.Name = "r"
+		f.manifest(2, renamed)
+		f.mustState(specifier.JobRunning)
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		f, start := started(t)
+		f.manifest(2)
+		f.cancel("a")
+		f.mustReply(specifier.JobNotFound)
+		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
+	})
+	t.Run("cancelled again", func(t *testing.T) {
+		f, _ := started(t)
+		f.manifest(2)
+		f.cancel("a")
+		f.cancel("a")
+		f.mustReply(specifier.JobNotFound)
+	})
+	t.Run("another path", func(t *testing.T) {
+		f, _ := started(t)
+		f.manifest(2)
+		f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/other/a"}})
+		f.mustReply(specifier.QueueNotFound)
+		must.SliceEmpty(t, f.stops())
+	})
+}
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -15,7 +15,7 @@
 		return
 	}
 	definition := call.Job
-	definition.ID, definition.Queue = id, queue.Name
+	definition.ID, definition.Queue, definition.Terms = id, queue.Name, queue
 	if problems := definition.Check(); problems != nil {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: problems.Error()})
 		return
@@ -25,7 +25,7 @@
 		return
 	}
 	if record := d.Recorder.Job(id); record != nil {
-		if record.Job.Queue != queue.Name {
+		if !record.Job.BelongsTo(queue) {
 			d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, Detail: "another queue has a job of this ID"})
 			return
 		}
@@ -65,7 +65,7 @@
 // resubmit answers for a job that is known to this leader.
 func (d *Dispatcher) resubmit(from waiter, j *job, queue specifier.Queue) {
 	switch {
-	case j.Queue != queue.Name:
+	case !j.BelongsTo(queue):
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, Detail: "another queue has a job of this ID"})
 	case j.ended:
 		d.reply(from, j.outcome)
@@ -143,7 +143,10 @@
 	for _, watching := range j.watchers {
 		d.reply(watching.from, outcome)
 	}
-	j.waiters, j.watchers = nil, nil
+	for _, from := range j.removedQueueWaiters {
+		d.reply(from, queueRemoved)
+	}
+	j.waiters, j.watchers, j.removedQueueWaiters = nil, nil, nil
 	if !j.Transient {
 		delete(d.jobs, j.ID)
 		return
--- a/core/encoder/queue_test.go
+++ b/core/encoder/queue_test.go
@@ -9,15 +9,16 @@
 	"oleandertally/core/specifier"
 )
 
-var queuedJob = specifier.QueuedJob{ID: "a", Queue: "q", Content: "c", Transient: true, Steps: []specifier.Step{
-	{Count: 2, Resources: specifier.Resources{MilliCores: 1, Memory: 2, Accelerators: 3}, Estimate: time.Second, Checkpoints: true, Label: "l", DataRack: "r",
-		PerWorker: 4, Speculative: true}, {Count: 1, After: []int{0}}}}
+var queuedJob = specifier.QueuedJob{ID: "a", Queue: "q", Content: "c", Transient: true,
+	Terms: specifier.Queue{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 1.5, Target: time.Second}, Steps: []specifier.Step{
+		{Count: 2, Resources: specifier.Resources{MilliCores: 1, Memory: 2, Accelerators: 3}, Estimate: time.Second, Checkpoints: true, Label: "l", DataRack: "r",
+			PerWorker: 4, Speculative: true}, {Count: 1, After: []int{0}}}}
 
 // Guards against a field that is lost between two processes.
 func TestQueueMessages(t *testing.T) {
 	t.Run("command", func(t *testing.T) {
 		for _, command := range []specifier.QueueCommand{
-			{Accept: &queuedJob, Advance: time.Second}, {Cancel: "a"}, {Enroll: "x"}, {Dismiss: "x"},
+			{Accept: &queuedJob, Advance: time.Second}, {Cancel: "a"}, {Evacuate: "z"}, {Restore: "z"}, {Enroll: "x"}, {Dismiss: "x"},
 			{Ends: []specifier.TaskEnd{{Job: "a", Step: 1, Index: 2, Run: 3, Kind: specifier.EndFailed}}},
 			{Manifest: &specifier.Manifest{Version: 3, NonEnforcingPools: []string{"p"}, Document: []byte("{}"), Queues: []specifier.Queue{
 				{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 1.5, Target: time.Second}}}},
--- a/core/specifier/queuedjob.go
+++ b/core/specifier/queuedjob.go
@@ -21,6 +21,18 @@
 	Content   string // passed to every task
 	Steps     []Step
 	Transient bool // the caller is answered when the job has ended; the job is lost with the leading controller
+	// Terms is the queue as it was when the job was recorded. They hold while the manifest does not define the queue. Without a name, they are not known.
+	Terms Queue
+}
+
+// BelongsTo reports whether the job came through the queue, or through one of another name at the same host and prefix.
+func (j QueuedJob) BelongsTo(queue Queue) bool {
+	return j.Queue == queue.Name || j.Terms.Name != "" && j.Terms.Host == queue.Host && j.Terms.Prefix == queue.Prefix
+}
+
+// SubmittedAt reports whether the job was submitted with that host and path.
+func (j QueuedJob) SubmittedAt(host, path string) bool {
+	return j.Terms.Name != "" && j.Terms.Host == host && j.Terms.Prefix+j.ID == path
 }
 
 // TaskCount returns the number of tasks.
--- a/state/jobrecorder/image.go
+++ b/state/jobrecorder/image.go
@@ -96,7 +96,7 @@
 	state := specifier.QueueState(encoded.State)
 	if state.Ended() {
 		r.jobs[encoded.GetJob().GetID()] = &Record{State: state, Ended: time.Unix(0, encoded.Ended),
-			Job: specifier.QueuedJob{ID: encoded.GetJob().GetID(), Queue: encoded.GetJob().GetQueue()}}
+			Job: specifier.QueuedJob{ID: encoded.GetJob().GetID(), Queue: encoded.GetJob().GetQueue(), Terms: encoder.DecodeTerms(encoded.GetJob())}}
 		r.endedJobs = append(r.endedJobs, encoded.GetJob().GetID())
 		return nil
 	}
--- a/state/jobrecorder/recorder.go
+++ b/state/jobrecorder/recorder.go
@@ -73,6 +73,7 @@
 	switch {
 	case command.Manifest != nil:
 		if command.Manifest.Version > r.manifest.Version {
+			r.keepTerms()
 			r.manifest = command.Manifest
 		}
 	case command.Accept != nil:
@@ -119,17 +120,28 @@
 	case specifier.EndFailed:
 		task := position{end.Step, end.Index}
 		record.failed[task] = append(record.failed[task], end.Run)
-		if len(record.failed[task]) >= r.maxAttempts(record.Job.Queue) {
+		if len(record.failed[task]) >= max(r.QueueOf(record).MaxAttempts, 1) {
 			r.endJob(end.Job, specifier.JobFailed)
 		}
 	}
 }
 
-// maxAttempts returns after how many failed runs of one task a job of the queue fails. For a queue that was removed, it is
-// one.
-func (r *Recorder) maxAttempts(queue string) int {
-	settings, _ := r.manifest.QueueByName(queue)
-	return max(settings.MaxAttempts, 1)
+// QueueOf returns the queue of a recorded job: as the manifest defines it or, when the manifest does not, as it was when the job was
+// recorded.
+func (r *Recorder) QueueOf(record *Record) specifier.Queue {
+	if queue, known := r.manifest.QueueByName(record.Job.Queue); known {
+		return queue
+	}
+	return record.Job.Terms
+}
+
+// keepTerms stores the present terms with the jobs that the version before has recorded without, before the manifest changes.
+func (r *Recorder) keepTerms() {
+	for _, record := range r.jobs {
+		if record.Job.Terms.Name == "" {
+			record.Job.Terms, _ = r.manifest.QueueByName(record.Job.Queue)
+		}
+	}
 }
 
 func (r *Recorder) endJob(id string, state specifier.QueueState) {
--- a/state/jobrecorder/recorder_test.go
+++ b/state/jobrecorder/recorder_test.go
@@ -157,3 +157,32 @@
 		must.False(t, each.Announcing())
 	}
 }
+
+// Guards against a job that fails after one of its attempts, or loses its terms with a snapshot, because the manifest no longer defines
+// its queue.
+func TestTermsOfARemovedQueue(t *testing.T) {
+	removeQueue := func(recorder *Recorder) {
+		recorder.Apply(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 6}})
+	}
+	t.Run("recorded by the version before", func(t *testing.T) {
+		recorder := newRecorder()
+		removeQueue(recorder)
+		recordEnd(recorder, 0, 0, specifier.EndFailed)
+		assertState(t, recorder, specifier.JobRunning)
+	})
+	t.Run("after a snapshot", func(t *testing.T) {
+		recorder := newRecorder()
+		removeQueue(recorder)
+		var data bytes.Buffer
+		must.NoError(t, Write(&data, recorder.Image()))
+		restored, err := Read(bufio.NewReader(&data), retention)
+		must.NoError(t, err)
+		must.Eq(t, 2, restored.QueueOf(restored.Job("a")).MaxAttempts)
+	})
+	t.Run("defined again", func(t *testing.T) {
+		recorder := newRecorder()
+		removeQueue(recorder)
+		recorder.Apply(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 7, Queues: []specifier.Queue{{Name: "q", MaxAttempts: 3}}}})
+		must.Eq(t, 3, recorder.QueueOf(recorder.Job("a")).MaxAttempts)
+	})
+}
