Refuse a call that can't be encoded before it reaches the shared stream

Cause: a path, host or text that is not valid UTF-8 can't be encoded; the failed send ended the stream that carries the calls of all callers of an entry, and the call was sent again on the next stream.

--- a/core/specifier/queuecall.go
+++ b/core/specifier/queuecall.go
@@ -1,6 +1,11 @@
 package specifier
 
-import "time"
+import (
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
 
 // QueueCall is a request of a caller or an operator to the leading controller.
 type QueueCall struct {
@@ -16,3 +21,11 @@
 	// Zone is the availability zone that EvacuateZone or RestoreZone names; otherwise that of the entry.
 	Zone string
 }
+
+// Check returns an error for a call that cannot be encoded: text that is not valid UTF-8.
+func (c QueueCall) Check() error {
+	if !utf8.ValidString(c.Host) || !utf8.ValidString(c.Path) || !utf8.ValidString(c.Zone) {
+		return errors.New("host, path or zone is not valid UTF-8")
+	}
+	return c.Job.checkText()
+}
--- a/core/specifier/queuedjob.go
+++ b/core/specifier/queuedjob.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Bounds of a queued job.
@@ -86,3 +89,15 @@
 	}
 	return p.OrNil()
 }
+
+// checkText returns an error for text that is not valid UTF-8.
+func (j QueuedJob) checkText() error {
+	texts := []string{j.ID, j.Queue, j.Content}
+	for _, step := range j.Steps {
+		texts = append(texts, step.Label, step.DataRack)
+	}
+	if slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) }) {
+		return errors.New("a text of the job is not valid UTF-8")
+	}
+	return nil
+}
--- a/entry/requester/malformed_test.go
+++ b/entry/requester/malformed_test.go
@@ -20,3 +20,18 @@
 		must.ErrorIs(t, f.answers[answered].err, ErrUnsent)
 	}
 }
+
+// Guards against one call that can't be encoded and ends the stream that carries the calls of all callers.
+func TestCallThatCannotBeEncoded(t *testing.T) {
+	for name, call := range map[string]specifier.QueueCall{
+		"path":    {Verb: specifier.QueryQueued, Host: "h", Path: "/q/\xff"},
+		"host":    {Verb: specifier.QueryQueued, Host: "\xff", Path: "/q/a"},
+		"content": {Verb: specifier.SubmitQueued, Host: "h", Path: "/q/a", Job: specifier.QueuedJob{ID: "a", Content: "\xff"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Requester{}
+			_, err := r.Call(t.Context(), call, time.Unix(1, 0))
+			must.ErrorIs(t, err, ErrInvalid)
+		})
+	}
+}
--- a/entry/requester/requester.go
+++ b/entry/requester/requester.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -76,8 +77,12 @@
 }
 
 // Call sends a call and returns the reply. It fails with ErrUnsent or ErrUnanswered at the deadline, or earlier if there is
-// no leader, and with the cause of ctx if ctx ends first.
+// no leader, with ErrInvalid for a call that can't be encoded, and with the cause of ctx if ctx ends first.
 func (r *Requester) Call(ctx context.Context, call specifier.QueueCall, deadline time.Time) (specifier.QueueReply, error) {
+	if err := call.Check(); err != nil {
+		// The stream carries the calls of many callers, and would break if one of them could not be encoded.
+		return specifier.QueueReply{}, errors.Mark(err, ErrInvalid)
+	}
 	replyTo := make(chan answer, 1)
 	if err := r.mailbox.Send(ctx, callStarted{call: call, deadline: deadline, replyTo: replyTo}); err != nil {
 		return specifier.QueueReply{}, err
