Let a controller wait while its disk is full instead of ending

A write that the disk refuses for lack of room leaves the file with a known end once its rest is cut.

A failed sync stays permanent. TestFullDisk of state/journaler and controller/server failed before.

--- a/controller/server/disk.go
+++ b/controller/server/disk.go
@@ -96,8 +96,10 @@
 	return errors.CombineErrors(d.journal.Close(), d.folder.Close())
 }
 
-// run performs disk actions until ctx ends or the disk fails. After a failure the process must stop.
+// run performs disk actions until ctx ends or the disk fails. After a failure the process must stop. While the disk is full, actions wait.
 func (d *disk) run(ctx context.Context) error {
+	room := &roomWaiter{log: d.journal.Log}
+	d.journal.Full = func(cause error) error { return room.wait(ctx, cause) }
 	for {
 		actions, err := d.queue.Take(ctx)
 		if err != nil {
@@ -182,7 +184,7 @@
 		}
 		for _, action := range actions {
 			snapshot := action.Log.(replicator.SaveSnapshot).Snapshot
-			if err := d.saveOne(snapshot, action.Image); err != nil {
+			if err := d.saveWhenRoom(ctx, snapshot, action.Image); err != nil {
 				return err
 			}
 			if err := d.mailbox.Send(ctx, driver.Event{Log: replicator.SnapshotSaved{Index: snapshot.Index}}); err != nil {
@@ -192,6 +194,20 @@
 	}
 }
 
+// saveWhenRoom saves a snapshot, and repeats that while the disk is full.
+func (d *disk) saveWhenRoom(ctx context.Context, snapshot replicator.Snapshot, image *driver.Image) error {
+	room := &roomWaiter{log: d.store.Log}
+	for {
+		err := d.saveOne(snapshot, image)
+		if !journaler.IsFull(err) {
+			return err
+		}
+		if err := room.wait(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
 func (d *disk) saveOne(snapshot replicator.Snapshot, image *driver.Image) error {
 	extra, err := transporter.EncodeSnapshot(snapshot)
 	if err != nil {
--- a/controller/server/faults_test.go
+++ b/controller/server/faults_test.go
@@ -187,6 +187,24 @@
 	})
 }
 
+// Guards against a controller that ends while its disk is full, acknowledges what it has not written, or does not go on once there is room.
+func TestFullDisk(t *testing.T) {
+	c := newCluster(t, 1)
+	var opened *fullFolder
+	c.openFolder = func(path string) (folder, error) {
+		disk, err := journaler.OpenDisk(path)
+		opened = &fullFolder{Disk: disk}
+		return opened, err
+	}
+	c.begin()
+	opened.full.Store(true)
+	_, err := c.proposeTo(0, c.accept(1))
+	must.Error(t, err)
+	must.Positive(t, int(opened.rejected.Load()))
+	opened.full.Store(false)
+	must.Eq(t, specifier.Accepted, c.propose(c.accept(2)).Verdict)
+}
+
 // assertAccepted checks that every submission is still recorded as accepted: another digest under its key conflicts.
 func (c *cluster) assertAccepted(count int) {
 	c.t.Helper()
--- /dev/null
+++ b/controller/server/roomwaiter.go
@@ -0,0 +1,33 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleandertally/core/looper"
+)
+
+// fullInterval is the time between two attempts to write to a full disk.
+const fullInterval = 100 * time.Millisecond
+
+// roomWaiter waits between the attempts to write to a full disk. A controller with a full disk is like one whose disk stalls: it acknowledges
+// nothing, and the others go on without it.
+type roomWaiter struct {
+	log      zerolog.Logger
+	loggedAt time.Time // when the full disk was last logged
+}
+
+// fullLogInterval is the least time between two log lines about a full disk.
+const fullLogInterval = 5 * time.Second
+
+// wait returns nil after fullInterval, or the cause of ctx once it has ended.
+func (r *roomWaiter) wait(ctx context.Context, cause error) error {
+	if time.Since(r.loggedAt) >= fullLogInterval {
+		r.loggedAt = time.Now()
+		r.log.Error().Str("Event", "DiskFull").Err(cause).Msg("the disk has no room; nothing is acknowledged until it has")
+	}
+	looper.Pause(ctx, fullInterval)
+	return context.Cause(ctx)
+}
--- a/state/journaler/journal.go
+++ b/state/journaler/journal.go
@@ -16,6 +16,9 @@
 	SegmentSize int64  // size in bytes at which a new segment starts; 0 means DefaultSegmentSize
 	DiskID      uint64 // random identity that a new data folder gets
 	Log         zerolog.Logger
+	// Full is called when the disk takes no more bytes. It returns once another attempt is worthwhile, or returns the error with which the
+	// commit fails. nil fails the commit at once.
+	Full func(cause error) error
 
 	sealed      []segment // oldest first
 	active      segment
@@ -89,7 +92,7 @@
 	if cap(buffer) <= 2*frameTarget {
 		j.buffer = buffer
 	}
-	if _, err := j.file.Write(buffer); err != nil {
+	if err := j.whileFull(func() error { return j.append(buffer) }); err != nil {
 		return errors.Wrapf(err, "write %s at offset %d", j.active.name(), j.size)
 	}
 	if err := j.file.Sync(); err != nil {
@@ -105,7 +108,12 @@
 // segment is used, so that a crash cannot lose the file.
 func (j *Journal) startSegment(number uint64) error {
 	next := segment{number: number}
-	file, err := j.Folder.Create(next.name())
+	var file File
+	err := j.whileFull(func() error {
+		var err error
+		file, err = j.Folder.Create(next.name())
+		return err
+	})
 	if err != nil {
 		return errors.Wrapf(err, "create %s", next.name())
 	}
--- a/state/journaler/journal_test.go
+++ b/state/journaler/journal_test.go
@@ -108,6 +108,46 @@
 	}
 }
 
+// Guards against a process that ends because its disk is full for a while, and against the rest of a failed write between two frames.
+func TestFullDisk(t *testing.T) {
+	fillFor := func(folder *fakeFolder, attempts int, err error) func(error) error {
+		folder.writeErr = syscall.ENOSPC
+		return func(error) error {
+			if attempts--; attempts == 0 {
+				folder.writeErr = nil
+				return err
+			}
+			return nil
+		}
+	}
+	begin := func(t *testing.T) (*fakeFolder, *Journal) {
+		folder := newFakeFolder()
+		journal, _ := openJournal(t, folder, 1)
+		must.NoError(t, journal.Commit(records(1, 1, 1)))
+		return folder, journal
+	}
+	t.Run("room again", func(t *testing.T) {
+		folder, journal := begin(t)
+		journal.Full = fillFor(folder, 3, nil)
+		must.NoError(t, journal.Commit(records(2, 2, 1)))
+		must.NoError(t, journal.Commit(records(3, 3, 1)))
+		mustRecover(t, folder.crash(0), 1, Content{Records: records(1, 3, 1).Records})
+	})
+	t.Run("in a new segment", func(t *testing.T) {
+		folder, journal := begin(t)
+		journal.SegmentSize = 1
+		journal.Full = fillFor(folder, 2, nil)
+		must.NoError(t, journal.Commit(records(2, 3, 1)))
+		mustRecover(t, folder.crash(0), 1, Content{Records: records(1, 3, 1).Records})
+	})
+	t.Run("given up", func(t *testing.T) {
+		folder, journal := begin(t)
+		journal.Full = fillFor(folder, 2, errors.New("the process stops"))
+		must.ErrorIs(t, journal.Commit(records(2, 2, 1)), ErrFailed)
+		mustRecover(t, folder.crash(0), 1, Content{Records: records(1, 1, 1).Records})
+	})
+}
+
 // Guards against two processes that write to the same data folder.
 func TestDiskIsLocked(t *testing.T) {
 	path := t.TempDir()
