Relay connections to controllers around a partition

On a cut between agents and all hosts with a disk, the runs of a quarter of the agents are lost although the entry hosts without a disk reach both sides. Those entries now relay connections to controllers, announce the address to the leader, which lists it in the welcome, and the locator tries a relay when it reaches no controller.

--- a/agent/leaserunner/runner.go
+++ b/agent/leaserunner/runner.go
@@ -71,7 +71,11 @@
 		},
 		Welcome: (*encoder.QueueOrder).GetWelcome,
 		Connected: func(ctx context.Context, controller netip.AddrPort, outbox *looper.Outbox[*encoder.QueueReport]) error {
-			r.Log.Info().Str("Event", "LeaderFound").Stringer("Controller", controller).Send()
+			line := r.Log.Info().Str("Event", "LeaderFound").Stringer("Controller", controller)
+			if relay := r.locator.Relay(); relay.IsValid() {
+				line = line.Stringer("Relay", relay)
+			}
+			line.Send()
 			return r.mailbox.Send(ctx, event{outbox: outbox})
 		},
 		Received: func(ctx context.Context, message *encoder.QueueOrder) error {
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -129,7 +129,7 @@
 	c.mailbox = looper.NewMailbox[driver.Event](mailboxSize)
 	c.registry = &registry{mailbox: c.mailbox, security: c.Security}
 	c.registry.lastID.Store(uint64(operatorStream))
-	c.queues = &queues{mailbox: c.mailbox}
+	c.queues = newQueues(c.mailbox, c.Clock, c.Log)
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
@@ -193,6 +193,7 @@
 	group.Go(func() error { return c.disk.run(ctx) })
 	group.Go(func() error { return c.disk.save(ctx) })
 	group.Go(func() error { return loop.Run(ctx) })
+	group.Go(func() error { return c.queues.relays.run(ctx) })
 	group.Go(func() error { return errors.Wrap(server.Serve(c.listener), "controller: serve") })
 	group.Go(func() error {
 		defer server.Stop()
--- a/controller/server/queues.go
+++ b/controller/server/queues.go
@@ -5,7 +5,9 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"oleandertally/controller/dispatcher"
@@ -27,9 +29,18 @@
 	calls    streams[dispatcher.Stream, *encoder.QueueReplies]
 	sessions streams[dispatcher.Stream, *encoder.QueueOrder]
 
-	mutex   sync.Mutex
-	welcome *encoder.QueueWelcome
-	servers []replicator.Server
+	relays relays
+
+	updating sync.Mutex // held during updateWelcome
+	mutex    sync.Mutex
+	welcome  *encoder.QueueWelcome
+	servers  []replicator.Server
+}
+
+func newQueues(mailbox *looper.Mailbox[driver.Event], clock func() time.Time, log zerolog.Logger) *queues {
+	q := &queues{mailbox: mailbox}
+	q.relays = relays{clock: clock, log: log, publish: q.setRelays, changed: make(chan struct{}, 1)}
+	return q
 }
 
 // currentWelcome returns the welcome for new streams.
@@ -63,7 +74,14 @@
 	})
 }
 
+func (q *queues) setRelays(relays []string) {
+	q.updateWelcome(func(m *encoder.QueueWelcome) { m.Relays = relays })
+}
+
+// updateWelcome changes the welcome and sends it on every stream.
 func (q *queues) updateWelcome(edit func(*encoder.QueueWelcome)) {
+	q.updating.Lock()
+	defer q.updating.Unlock()
 	next := proto.Clone(q.currentWelcome()).(*encoder.QueueWelcome)
 	edit(next)
 	q.mutex.Lock()
@@ -91,15 +109,19 @@
 	box := q.calls.open(id)
 	defer q.calls.close(id)
 	defer q.notifyClosed(dispatcher.CallerDisconnected{Stream: id})
+	defer q.relays.streamEnded(id)
 	box.Put(&encoder.QueueReplies{Welcome: q.currentWelcome()})
 	group, ctx := supervisor.WithContext(stream.Context())
 	group.Go(func() error { return sendAll(ctx, box, mergeReplies, stream.Send) })
 	group.Go(func() error {
-		for {
+		for first := true; ; first = false {
 			calls, err := stream.Recv()
 			if err != nil {
 				return err
 			}
+			if first && calls.Relay != "" {
+				q.relays.announce(id, calls.Relay)
+			}
 			if len(calls.Items) == 0 {
 				box.Put(&encoder.QueueReplies{}) // the answer to a ping
 			}
--- a/core/exporter/page_test.go
+++ b/core/exporter/page_test.go
@@ -16,16 +16,23 @@
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
 	"github.com/shoenig/test/must"
 
+	"oleandertally/core/relayer"
 	"oleandertally/core/specifier"
 )
 
 func registries() map[string]*prometheus.Registry {
 	return map[string]*prometheus.Registry{
 		"Entry": NewEntry().Registry(), "Agent": NewAgent().Registry(), "Controller": NewController().Registry(),
-		"Queues": NewQueues(noneDropped).Registry(),
+		"Queues": queuesWithRelay().Registry(),
 	}
 }
 
+func queuesWithRelay() *Queues {
+	queues := NewQueues(noneDropped)
+	NewRelay(queues)
+	return queues
+}
+
 func noneDropped() int64 { return 0 }
 
 var fqName = regexp.MustCompile(`fqName: "([^"]+)"`)
@@ -78,7 +85,7 @@
 	kinds := make(map[string]string)
 	entry := NewEntry()
 	entry.Answered(specifier.Complete, "")
-	queues := NewQueues(noneDropped)
+	queues := queuesWithRelay()
 	queues.Event("JobArrived")
 	queues.Request("GET", 200, time.Second)
 	queues.Job("Completed", time.Second)
@@ -148,6 +155,7 @@
 	t.Run("verdicts", func(t *testing.T) { assertListed(t, "../specifier/verdict.go", verdicts) })
 	t.Run("roles", func(t *testing.T) { assertListed(t, "../specifier/role.go", roles) })
 	t.Run("causes", func(t *testing.T) { assertListed(t, "../../agent/executor/cause.go", causes) })
+	t.Run("relay reasons", func(t *testing.T) { assertListed(t, "../relayer/reason.go", relayReasons) })
 	t.Run("states", func(t *testing.T) { assertListed(t, "../specifier/memberstate.go", states) })
 }
 
@@ -195,6 +203,18 @@
 		assertValue(t, entry.Registry(), "oleandertally_entry_in_time_total", nil, 1)
 		assertValue(t, entry.Registry(), "oleandertally_entry_response_over_ideal_ratio", map[string]string{"class": "Short"}, 2)
 	})
+	t.Run("a relay", func(t *testing.T) {
+		queues := NewQueues(noneDropped)
+		relay := NewRelay(queues)
+		relay.Opened()
+		relay.Opened()
+		relay.Closed()
+		relay.Refused(relayer.Full)
+		relay.Copied(12)
+		assertValue(t, queues.Registry(), "oleandertally_relay_connections", nil, 1)
+		assertValue(t, queues.Registry(), "oleandertally_relay_refusals_total", map[string]string{"reason": "Full"}, 1)
+		assertValue(t, queues.Registry(), "oleandertally_relay_copied_bytes_total", nil, 12)
+	})
 	t.Run("a leader that steps down", func(t *testing.T) {
 		controller := NewController()
 		controller.SetTerm(7, true)
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -23,21 +21,22 @@
 const (
 	// answerTimeout is how long a controller may take to report whether it leads. A new leader is busy with all its clients.
 	answerTimeout = time.Second
-	// dialTimeout is how long a connection to a controller may take to open.
-	dialTimeout = 400 * time.Millisecond
 	// maxFirstAddress bounds the random first position in the lists of controllers, by which clients spread over them.
 	maxFirstAddress = 1 << 10
-	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection is treated as broken.
-	unackedTimeout = 800 * time.Millisecond
 )
 
-// errNotLeading ends a stream to a controller that does not lead.
-var errNotLeading = errors.New("the controller does not lead")
+var (
+	// errNotLeading ends a stream to a controller that does not lead.
+	errNotLeading = errors.New("the controller does not lead")
+	// errDirect ends a stream through a relay when a direct one is open.
+	errDirect = errors.New("the leader can be reached without a relay")
+)
 
 // Locator keeps a stream to the leading controller. Exported fields are set before Run. Run calls Connected, Received and
 // Disconnected, one at a time.
 type Locator[In, Out any] struct {
 	Seeds        []netip.AddrPort
+	OwnRelay     netip.AddrPort // address of the relay in this process, which is not used; zero for none
 	Credentials  credentials.TransportCredentials
 	IdleTimeout  time.Duration // a stream without a message for this long is treated as broken
 	Open         func(ctx context.Context, conn *grpc.ClientConn) (Stream[In, Out], error)
@@ -51,21 +50,43 @@
 	mutex sync.Mutex
 	book  addressBook
 	named netip.AddrPort // leader that the controller named at the end of the last stream; zero if it named none
+
+	direct *probe[In, Out] // replaces the relayed stream that it ended; nil for none
+	lost   netip.AddrPort  // relay of the last stream; zero if that was direct
 }
 
 // Run keeps the stream open until ctx ends, and returns the context's error.
 func (l *Locator[In, Out]) Run(ctx context.Context) error {
-	l.book.seeds, l.book.next = l.Seeds, rand.IntN(maxFirstAddress)
+	l.prepare()
 	for ctx.Err() == nil {
-		leader := (&search[In, Out]{locator: l, first: l.named}).run(ctx)
+		leader := l.direct
+		if l.direct = nil; leader == nil {
+			leader = (&search[In, Out]{locator: l, first: l.named, plan: l.plan()}).run(ctx)
+		}
 		if l.named = (netip.AddrPort{}); leader != nil {
 			_ = l.serve(ctx, leader) // Disconnected gets the cause
 			leader.close()
+			l.lost = leader.route.relay
 		}
 	}
+	if l.direct != nil {
+		l.direct.close()
+	}
 	return context.Cause(ctx)
 }
 
+func (l *Locator[In, Out]) prepare() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.book.seeds, l.book.ownRelay, l.book.next = l.Seeds, l.OwnRelay, rand.IntN(maxFirstAddress)
+}
+
+func (l *Locator[In, Out]) plan() *relayPlan {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.book.plan(time.Now(), l.lost)
+}
+
 // pick returns the next address that is not excluded, or the zero address.
 func (l *Locator[In, Out]) pick(excluded func(netip.AddrPort) bool) netip.AddrPort {
 	l.mutex.Lock()
@@ -95,26 +116,36 @@
 func (l *Locator[In, Out]) KnownControllers() (leader netip.AddrPort, controllers []netip.AddrPort) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.book.connected, l.book.known
+	return l.book.connected.controller, l.book.known
 }
 
-func (l *Locator[In, Out]) setConnected(addr netip.AddrPort) {
+// Relay returns the relay that the open stream passes through, or the zero address if the stream is direct or none is open.
+func (l *Locator[In, Out]) Relay() netip.AddrPort {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.book.connected = addr
+	return l.book.connected.relay
 }
 
-// learn stores the controllers that a welcome lists, and returns the leader that it names, or the zero address.
-func (l *Locator[In, Out]) learn(m *encoder.QueueWelcome) netip.AddrPort {
-	var controllers []netip.AddrPort
-	for _, text := range m.Controllers {
-		if addr, err := netip.ParseAddrPort(text); err == nil {
-			controllers = append(controllers, addr)
-		}
+// IsController reports whether an address is that of a known controller.
+func (l *Locator[In, Out]) IsController(addr netip.AddrPort) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Contains(l.book.all(), addr) && !slices.Contains(l.book.relays, addr) && addr != l.book.ownRelay
+}
+
+func (l *Locator[In, Out]) setConnected(r route) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.book.connected = r; r.controller.IsValid() {
+		l.book.leader = r.controller
 	}
+}
+
+// learn stores the controllers and relays that a welcome lists, and returns the leader that it names, or the zero address.
+func (l *Locator[In, Out]) learn(m *encoder.QueueWelcome) netip.AddrPort {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.book.learn(controllers)
+	l.book.learn(parse(m.Controllers), parse(m.Relays))
 	leader, err := netip.ParseAddrPort(m.Leader)
 	if err != nil {
 		return netip.AddrPort{} // no leader is known
@@ -122,12 +153,23 @@
 	return leader
 }
 
+// parse leaves out what is not an address.
+func parse(texts []string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, text := range texts {
+		if addr, err := netip.ParseAddrPort(text); err == nil {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
 // serve runs the stream to the leader.
 func (l *Locator[In, Out]) serve(ctx context.Context, leader *probe[In, Out]) error {
-	l.setConnected(leader.addr)
-	defer l.setConnected(netip.AddrPort{})
+	l.setConnected(leader.route)
+	defer l.setConnected(route{})
 	outbox := looper.NewOutbox[Out]()
-	if err := l.Connected(ctx, leader.addr, outbox); err != nil {
+	if err := l.Connected(ctx, leader.route.controller, outbox); err != nil {
 		return err
 	}
 	group, groupCtx := supervisor.WithContext(leader.ctx)
@@ -137,10 +179,39 @@
 		leader.cancel(err)
 		return err
 	})
+	if leader.route.isRelayed() {
+		group.Go(func() error { // receive ends with the stream's context
+			err := l.findDirect(groupCtx, ctx, leader.route.controller)
+			leader.cancel(err)
+			return err
+		})
+	}
 	err := group.Wait()
 	return errors.CombineErrors(l.Disconnected(context.WithoutCancel(ctx), err), err)
 }
 
+// findDirect tries the direct path to the leader until a stream on it is welcomed by a leader or the relayed one ends. The
+// direct stream outlives the relayed one, so its context is derived from streamCtx.
+func (l *Locator[In, Out]) findDirect(ctx, streamCtx context.Context, leader netip.AddrPort) error {
+	for {
+		looper.Pause(ctx, directAttemptDelay(rand.Float64()))
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		p := newProbe[In, Out](streamCtx, route{controller: leader})
+		stop := context.AfterFunc(ctx, func() { p.cancel(context.Cause(ctx)) })
+		err := p.open(l)
+		if err == nil {
+			err = p.awaitLeader(l, func(netip.AddrPort) {})
+		}
+		if stop() && err == nil {
+			l.direct = p
+			return errDirect
+		}
+		p.close()
+	}
+}
+
 func (l *Locator[In, Out]) send(ctx context.Context, stream Stream[In, Out], outbox *looper.Outbox[Out]) error {
 	for {
 		items, err := outbox.Take(ctx)
@@ -178,18 +249,3 @@
 		}
 	}
 }
-
-// dialer opens connections to one controller. They fail soon after the other side stops acknowledging sent bytes. The dialer
-// ignores the address that gRPC passes, which is the same one.
-func dialer(addr netip.AddrPort) func(context.Context, string) (net.Conn, error) {
-	return func(ctx context.Context, _ string) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.CombineErrors(err, failed)
-		}}
-		return dialer.DialContext(ctx, "tcp", addr.String())
-	}
-}
--- a/core/locator/probe.go
+++ b/core/locator/probe.go
@@ -13,7 +13,7 @@
 
 // probe is a stream to one controller, on a connection of its own: an old connection can stop responding while new ones work.
 type probe[In, Out any] struct {
-	addr     netip.AddrPort
+	route    route
 	startAt  time.Time
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -23,27 +23,28 @@
 }
 
 // newProbe returns a probe that is not open.
-func newProbe[In, Out any](ctx context.Context, addr netip.AddrPort) *probe[In, Out] {
-	p := &probe[In, Out]{addr: addr, startAt: time.Now()}
+func newProbe[In, Out any](ctx context.Context, r route) *probe[In, Out] {
+	p := &probe[In, Out]{route: r, startAt: time.Now()}
 	p.ctx, p.cancel = context.WithCancelCause(ctx)
-	p.watchdog = time.AfterFunc(answerTimeout, func() { p.cancel(errors.Newf("locator: no message from %s in time", addr)) })
+	p.watchdog = time.AfterFunc(answerTimeout, func() { p.cancel(errors.Newf("locator: no message from %s in time", r)) })
 	return p
 }
 
 // open connects and opens the stream.
 func (p *probe[In, Out]) open(l *Locator[In, Out]) error {
 	var err error
-	p.conn, err = grpc.NewClient("passthrough:///"+p.addr.String(), grpc.WithTransportCredentials(l.Credentials),
-		grpc.WithContextDialer(dialer(p.addr)), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
+	p.conn, err = grpc.NewClient("passthrough:///"+p.route.controller.String(), grpc.WithTransportCredentials(l.Credentials),
+		grpc.WithContextDialer(p.route.dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
 	if err != nil {
-		return errors.Wrapf(err, "locator: connect to %s", p.addr)
+		return errors.Wrapf(err, "locator: connect to %s", p.route)
 	}
 	p.stream, err = l.Open(p.ctx, p.conn)
-	return errors.Wrapf(err, "locator: open a stream to %s", p.addr)
+	return errors.Wrapf(err, "locator: open a stream to %s", p.route)
 }
 
-// awaitLeader returns nil once the controller leads. It calls named for each other leader that the controller names.
-func (p *probe[In, Out]) awaitLeader(l *Locator[In, Out], named func(netip.AddrPort)) error {
+// awaitLeader returns nil once the controller leads. Until then it calls answered for each answer, with the other leader that the
+// controller names, or the zero address.
+func (p *probe[In, Out]) awaitLeader(l *Locator[In, Out], answered func(leader netip.AddrPort)) error {
 	for {
 		message, err := p.stream.Recv()
 		if err != nil {
@@ -58,9 +59,10 @@
 			return nil
 		}
 		p.watchdog.Reset(leaderTimeout)
-		if leader.IsValid() && leader != p.addr {
-			named(leader)
+		if leader == p.route.controller {
+			leader = netip.AddrPort{}
 		}
+		answered(leader)
 	}
 }
 
--- a/core/locator/search.go
+++ b/core/locator/search.go
@@ -17,6 +17,9 @@
 	recentProbe = 400 * time.Millisecond
 	// maxStreams bounds the streams that are open at the same time.
 	maxStreams = 6
+	// maxRelayed bounds the streams through relays that are open at the same time: to a relay that is being tried, to the one before it
+	// that may still answer, and to a leader that one of them has named.
+	maxRelayed = 3
 	// probeInterval is how long to wait for the open streams before another controller is asked as well.
 	probeInterval = 80 * time.Millisecond
 	// maxRetryDelay bounds the random delay before the next controller is asked after one has failed.
@@ -31,22 +34,23 @@
 type search[In, Out any] struct {
 	locator *Locator[In, Out]
 	first   netip.AddrPort // asked before the others; zero for none
+	plan    *relayPlan
 
 	group   errgroup.Group
 	results chan finding[In, Out]
-	active  map[netip.AddrPort]*probe[In, Out]
-	failed  map[netip.AddrPort]time.Time
+	active  map[route]*probe[In, Out]
+	failed  map[route]time.Time
 }
 
 // run returns an open stream to the leader, or nil once ctx ends.
 func (s *search[In, Out]) run(ctx context.Context) *probe[In, Out] {
 	s.results = make(chan finding[In, Out])
-	s.active, s.failed = make(map[netip.AddrPort]*probe[In, Out]), make(map[netip.AddrPort]time.Time)
+	s.active, s.failed = make(map[route]*probe[In, Out]), make(map[route]time.Time)
 	done := make(chan struct{})
 	leader := s.find(ctx, done)
 	close(done)
 	if leader != nil {
-		delete(s.active, leader.addr)
+		delete(s.active, leader.route)
 	}
 	for _, each := range s.active {
 		each.cancel(nil)
@@ -59,56 +63,96 @@
 }
 
 func (s *search[In, Out]) find(ctx context.Context, done <-chan struct{}) *probe[In, Out] {
-	next := time.NewTimer(0)
+	next, relay := time.NewTimer(0), time.NewTimer(time.Hour)
 	defer next.Stop()
-	s.start(ctx, s.first, done)
+	defer relay.Stop()
+	s.start(ctx, route{controller: s.first}, done)
 	for {
+		if due := s.plan.due(); !due.IsZero() {
+			relay.Reset(time.Until(due))
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-next.C:
-			if s.recent() < maxProbes && len(s.active) < maxStreams {
-				s.start(ctx, s.locator.pick(s.isActive), done)
+			if s.recent() < maxProbes && s.count(false) < maxStreams {
+				s.start(ctx, route{controller: s.locator.pick(s.isActive)}, done)
 			}
 			next.Reset(probeInterval)
+		case <-relay.C:
+			if r, ok := s.plan.next(time.Now()); ok && s.active[r] == nil && s.count(true) < maxRelayed {
+				s.start(ctx, r, done)
+			}
 		case found := <-s.results:
 			switch {
-			case found.named.IsValid():
-				if !s.isActive(found.named) && time.Since(s.failed[found.named]) > namedAgainAfter {
-					s.start(ctx, found.named, done)
-				}
+			case found.opened:
+				s.plan.opened(time.Now(), found.probe.route)
+			case found.answered:
+				s.answered(ctx, found, done)
 			case found.err == nil:
 				return found.probe
 			default:
-				found.probe.close()
-				delete(s.active, found.probe.addr)
-				s.failed[found.probe.addr] = time.Now()
-				next.Reset(time.Duration(rand.Int64N(int64(maxRetryDelay))))
+				if s.probeFailed(found.probe); !found.probe.route.isRelayed() {
+					next.Reset(time.Duration(rand.Int64N(int64(maxRetryDelay))))
+				}
 			}
 		}
 	}
 }
 
-// recent returns the number of streams that were opened within recentProbe.
+// answered asks the leader that a controller named, on the same path as that controller.
+func (s *search[In, Out]) answered(ctx context.Context, found finding[In, Out], done <-chan struct{}) {
+	named := route{controller: found.named, relay: found.probe.route.relay}
+	if !named.isRelayed() {
+		s.plan.answered(time.Now(), found.named)
+	}
+	if s.active[named] == nil && time.Since(s.failed[named]) > namedAgainAfter {
+		s.start(ctx, named, done)
+	}
+}
+
+func (s *search[In, Out]) probeFailed(p *probe[In, Out]) {
+	p.close()
+	delete(s.active, p.route)
+	s.failed[p.route] = time.Now()
+	if p.route.isRelayed() {
+		s.plan.failed(time.Now())
+	}
+}
+
+// recent returns the number of direct streams that were opened within recentProbe.
 func (s *search[In, Out]) recent() int {
 	count := 0
 	for _, each := range s.active {
-		if time.Since(each.startAt) < recentProbe {
+		if !each.route.isRelayed() && time.Since(each.startAt) < recentProbe {
 			count++
 		}
 	}
 	return count
 }
 
-func (s *search[In, Out]) isActive(addr netip.AddrPort) bool { return s.active[addr] != nil }
+// count returns the number of streams that pass, or do not pass, through relays.
+func (s *search[In, Out]) count(relayed bool) int {
+	count := 0
+	for r := range s.active {
+		if r.isRelayed() == relayed {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *search[In, Out]) isActive(addr netip.AddrPort) bool {
+	return s.active[route{controller: addr}] != nil
+}
 
 // start asks a controller in a goroutine of its own, which reports what it finds until done is closed.
-func (s *search[In, Out]) start(ctx context.Context, addr netip.AddrPort, done <-chan struct{}) {
-	if !addr.IsValid() {
+func (s *search[In, Out]) start(ctx context.Context, r route, done <-chan struct{}) {
+	if !r.controller.IsValid() {
 		return
 	}
-	p := newProbe[In, Out](ctx, addr)
-	s.active[addr] = p
+	p := newProbe[In, Out](ctx, r)
+	s.active[r] = p
 	report := func(found finding[In, Out]) {
 		select {
 		case s.results <- found:
@@ -118,7 +162,10 @@
 	s.group.Go(func() error {
 		err := p.open(s.locator)
 		if err == nil {
-			err = p.awaitLeader(s.locator, func(leader netip.AddrPort) { report(finding[In, Out]{probe: p, named: leader}) })
+			report(finding[In, Out]{probe: p, opened: true})
+			err = p.awaitLeader(s.locator, func(leader netip.AddrPort) {
+				report(finding[In, Out]{probe: p, answered: true, named: leader})
+			})
 		}
 		report(finding[In, Out]{probe: p, err: err})
 		return nil
--- a/entry/requester/machine.go
+++ b/entry/requester/machine.go
@@ -24,6 +24,7 @@
 
 // machine is the control state of a requester.
 type machine struct {
+	relay          string // announced in the first message on each stream; empty for none
 	lastSequence   uint64
 	calls          map[uint64]*pending
 	byReply        map[chan<- answer]*pending
@@ -53,6 +54,9 @@
 		m.dropCall(e.replyTo)
 	case connected:
 		m.outbox, m.pingAt, m.disconnectedAt = e.outbox, now.Add(pingInterval), time.Time{}
+		if m.relay != "" {
+			m.put(&encoder.QueueCalls{Relay: m.relay})
+		}
 		for _, sequence := range slices.Sorted(maps.Keys(m.calls)) {
 			m.send(now, m.calls[sequence])
 		}
--- a/entry/requester/requester.go
+++ b/entry/requester/requester.go
@@ -26,6 +26,7 @@
 	Seeds       []netip.AddrPort // addresses at which the search for the leader begins
 	Credentials credentials.TransportCredentials
 	Clock       func() time.Time
+	OwnRelay    netip.AddrPort // address of the relay in this process, which is announced to the leader; zero for none
 	// LeaderChanged is called when a leading controller is found or lost; it must not block.
 	LeaderChanged func(controller netip.AddrPort, cause error)
 
@@ -37,7 +38,7 @@
 func (r *Requester) Open() {
 	r.mailbox = looper.NewMailbox[event](mailboxSize)
 	r.locator = &locator.Locator[*encoder.QueueReplies, *encoder.QueueCalls]{
-		Seeds: r.Seeds, Credentials: r.Credentials, IdleTimeout: idleTimeout,
+		Seeds: r.Seeds, OwnRelay: r.OwnRelay, Credentials: r.Credentials, IdleTimeout: idleTimeout,
 		Open: func(ctx context.Context, conn *grpc.ClientConn) (locator.Stream[*encoder.QueueReplies, *encoder.QueueCalls], error) {
 			return encoder.NewQueueKeeperClient(conn).Call(ctx)
 		},
@@ -60,7 +61,11 @@
 // Run sends calls until ctx ends. Open must be called first.
 func (r *Requester) Run(ctx context.Context) error {
 	group, ctx := supervisor.WithContext(ctx)
-	loop := &looper.Loop[event, action]{Machine: newMachine(), Mailbox: r.mailbox, Perform: perform, Clock: r.Clock}
+	machine := newMachine()
+	if r.OwnRelay.IsValid() {
+		machine.relay = r.OwnRelay.String()
+	}
+	loop := &looper.Loop[event, action]{Machine: machine, Mailbox: r.mailbox, Perform: perform, Clock: r.Clock}
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return r.locator.Run(ctx) })
 	return group.Wait()
@@ -75,6 +80,12 @@
 	return r.locator.KnownControllers()
 }
 
+// Relay returns the relay through which the leader is reached, or the zero address without one.
+func (r *Requester) Relay() netip.AddrPort { return r.locator.Relay() }
+
+// IsController reports whether an address is that of a known controller.
+func (r *Requester) IsController(addr netip.AddrPort) bool { return r.locator.IsController(addr) }
+
 // Call sends a call and returns the reply. It fails with ErrUnsent or ErrUnanswered at the deadline, or earlier if there is
 // no leader, and with the cause of ctx if ctx ends first.
 func (r *Requester) Call(ctx context.Context, call specifier.QueueCall, deadline time.Time) (specifier.QueueReply, error) {
