Record the evacuated zones in the state of the queues

An evacuation has to survive the loss of the leader and of a minority of disks, so its state is in the log: the set of zones, and a version that rises with each change.

--- a/state/jobrecorder/image.go
+++ b/state/jobrecorder/image.go
@@ -22,7 +22,8 @@
 
 // Image returns a copy of the state as a message. Commands applied later do not change the message.
 func (r *Recorder) Image() *encoder.QueueImage {
-	image := &encoder.QueueImage{Manifest: encoder.EncodeManifest(r.manifest), Roster: r.EnrolledAgents(), Now: r.now.UnixNano(), Announcing: r.announcing}
+	image := &encoder.QueueImage{Manifest: encoder.EncodeManifest(r.manifest), Roster: r.EnrolledAgents(), Now: r.now.UnixNano(), Announcing: r.announcing,
+		Evacuated: r.EvacuatedZones(), EvacuationVersion: r.evacuationVersion}
 	r.announcements.Each(func(a announcement) {
 		if !r.announced[a.id].Equal(a.until) {
 			return // announced again later
@@ -79,7 +80,10 @@
 	for _, agent := range image.Roster {
 		recorder.enrolledAgents[agent] = true
 	}
-	recorder.announcing = image.Announcing
+	recorder.announcing, recorder.evacuationVersion = image.Announcing, image.EvacuationVersion
+	for _, zone := range image.Evacuated {
+		recorder.evacuatedZones[zone] = true
+	}
 	for _, each := range image.Announced {
 		recorder.announce(announcement{id: each.ID, until: time.Unix(0, each.Until)})
 	}
--- a/state/jobrecorder/recorder.go
+++ b/state/jobrecorder/recorder.go
@@ -22,6 +22,9 @@
 	announced      map[string]time.Time          // until when each announced job is remembered
 	announcements  container.Queue[announcement] // oldest first; those that were announced again are void
 	announcing     bool                          // leaders have announced every transient job that may run
+
+	evacuatedZones    map[string]bool // availability zones in which no task may be started
+	evacuationVersion uint64          // number of changes of evacuatedZones
 }
 
 // announcedFor is how long an announced job is remembered. The leader announces a job again while it lives.
@@ -30,7 +33,8 @@
 // New returns a Recorder with the empty state.
 func New(retention time.Duration) *Recorder {
 	return &Recorder{Retention: retention, now: time.Unix(0, 0), manifest: &specifier.Manifest{},
-		jobs: make(map[string]*Record), enrolledAgents: make(map[string]bool), announced: make(map[string]time.Time)}
+		jobs: make(map[string]*Record), enrolledAgents: make(map[string]bool), announced: make(map[string]time.Time),
+		evacuatedZones: make(map[string]bool)}
 }
 
 // Manifest returns the current manifest, which must not be modified. Its Version is 0 before the first one is applied.
@@ -85,6 +89,10 @@
 		r.enrolledAgents[command.Enroll] = true
 	case command.Dismiss != "":
 		delete(r.enrolledAgents, command.Dismiss)
+	case command.Evacuate != "":
+		r.setEvacuated(command.Evacuate, true)
+	case command.Restore != "":
+		r.setEvacuated(command.Restore, false)
 	}
 	for _, end := range command.Ends {
 		r.recordEnd(end)
--- a/state/jobrecorder/recorder_test.go
+++ b/state/jobrecorder/recorder_test.go
@@ -157,3 +157,47 @@
 		must.False(t, each.Announcing())
 	}
 }
+
+// Guards against an evacuation that is lost with a snapshot, and against a version that stays equal while the set of zones changes or
+// rises without a change.
+func TestEvacuations(t *testing.T) {
+	mustHave := func(t *testing.T, r *Recorder, version uint64, zones ...string) {
+		t.Helper()
+		must.Eq(t, version, r.EvacuationVersion())
+		must.Eq(t, zones, r.EvacuatedZones())
+		for _, zone := range zones {
+			must.True(t, r.Evacuated(zone))
+		}
+		must.False(t, r.Evacuated("other"))
+	}
+	reload := func(t *testing.T, r *Recorder) *Recorder {
+		t.Helper()
+		var data bytes.Buffer
+		must.NoError(t, Write(&data, r.Image()))
+		restored, err := Read(bufio.NewReader(&data), retention)
+		must.NoError(t, err)
+		return restored
+	}
+	r := New(retention)
+	mustHave(t, r, 0)
+	t.Run("none in a state without the fields", func(t *testing.T) { // guards against an old snapshot that can't be read
+		mustHave(t, reload(t, newRecorder()), 0)
+	})
+	for _, step := range []struct {
+		command specifier.QueueCommand
+		version uint64
+		zones   []string
+	}{
+		{specifier.QueueCommand{Evacuate: "b"}, 1, []string{"b"}},
+		{specifier.QueueCommand{Evacuate: "a"}, 2, []string{"a", "b"}},
+		{specifier.QueueCommand{Evacuate: "b"}, 2, []string{"a", "b"}},
+		{specifier.QueueCommand{Restore: "other"}, 2, []string{"a", "b"}},
+		{specifier.QueueCommand{Restore: "b"}, 3, []string{"a"}},
+		{specifier.QueueCommand{Restore: "a"}, 4, nil},
+	} {
+		r.Apply(step.command)
+		mustHave(t, r, step.version, step.zones...)
+		r = reload(t, r)
+		mustHave(t, r, step.version, step.zones...)
+	}
+}
