Refuse starts at agents of an evacuated zone

A start order that is still on its way when a zone is evacuated must not be begun after the operator was told that the zone is evacuated.

--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -62,6 +62,10 @@
 	orders       uint64        // number of the last order
 	leaving      bool
 
+	evacuated         bool   // no task may be started in the zone
+	evacuationVersion uint64 // newest version that was applied
+	confirmedVersion  uint64 // newest version that was applied while no start was under way
+
 	worker          *specifier.LeasedWorker
 	sequence        uint64    // sequence number of the worker's last announcement
 	coldUntil       time.Time // when the worker reaches its full speed, by its last announcement
@@ -173,6 +177,7 @@
 }
 
 func (l *LeaseHolder) finish() []Action {
+	l.confirmEvacuation()
 	if l.mayPoll() && !l.polling && !l.pollAt.After(l.now) {
 		l.poll()
 	}
--- a/agent/leaseholder/runs.go
+++ b/agent/leaseholder/runs.go
@@ -17,6 +17,11 @@
 	if l.runs[start.Key] != nil {
 		return
 	}
+	if l.evacuated {
+		l.emit(LogEvent{Event: "StartRefused", Task: start.Key.Task, Run: start.Key.Run, Detail: "the zone is evacuated"})
+		l.refuse(start.Key, specifier.EndRefusedLate)
+		return
+	}
 	if l.worker == nil || l.worker.Draining || l.leaving || !l.clock.known() || !l.now.Before(l.grantEnd) {
 		l.emit(LogEvent{Event: "StartRefused", Task: start.Key.Task, Run: start.Key.Run, Detail: "no grant, or the worker leaves"})
 		l.refuse(start.Key, specifier.EndRefusedLate)
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -38,6 +38,7 @@
 	report.Agent, report.Incarnation, report.LastOrder, report.Leaving = l.Name, l.Incarnation, l.orders, l.leaving
 	report.AllRunsKnown, report.Token, report.WorkerStartedAt = l.allRunsKnown(), l.token, l.startedAt
 	report.EndsCut, report.Zone = l.endsCut && !l.endsListed, l.Zone
+	report.EvacuationVersion = l.confirmedVersion
 	if l.workerChanged || report.RunsComplete {
 		report.Worker = l.describeWorker()
 		l.workerChanged = false
@@ -69,6 +70,7 @@
 		l.renewAfter = min(order.RenewAfter, maxRenewInterval)
 	}
 	l.orders = order.OrderCount
+	l.applyEvacuation(order)
 	for _, key := range order.Stops {
 		if run := l.runs[key]; run != nil {
 			l.stop(run)
