Evacuate and restore zones at the leading controller

The leader stops placing in a zone when it proposes the evacuation, tells the agents of the zone when it is committed, and answers once each of them has confirmed the version or has no grant, at the latest when every grant of that time has ended. A new leader derives this from the log.

--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -19,6 +19,9 @@
 // refused job ever runs.
 func (d *Dispatcher) refusal(j *job) (specifier.QueueReply, bool) {
 	p := d.pool(j.queue.Pool)
+	if reply, refused := d.strandedRefusal(p, j); refused {
+		return reply, true
+	}
 	p.arrivals.Add(d.now, j.coreSeconds()*p.pace)
 	if d.waitingTasks+j.TaskCount() > d.Settings.MaxWaiting {
 		return specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: d.backlogTime(p), Detail: "too many tasks wait"}, true
--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -10,33 +10,35 @@
 
 // agent is an agent process and the worker whose leases it holds.
 type agent struct {
-	name            string
-	stream          Stream // 0 while disconnected
-	incarnation     specifier.Incarnation
-	worker          *specifier.LeasedWorker // nil until reported
-	settled         bool                    // every run is listed, and no start with an earlier fencing token can happen any more
-	endsCut         bool                    // the worker has not listed all its ends to the agent
-	leaving         bool                    // the agent is being stopped
-	zone            string                  // availability zone of its host; empty if it has not said
-	coldUntil       time.Time               // when the worker reaches its full speed, by its own account
-	listed          bool                    // has sent its list of runs on this stream and in this term
-	enrolling       bool                    // an Enroll or Dismiss command is in the log and not committed
-	noStartsUntil   time.Time               // after a refused start, because another one would be refused too
-	renewedAt       time.Time
-	grantUntil      time.Time
-	orderCount      uint64 // orders with a start or a stop
-	used            specifier.Resources
-	unknownRuns     int // runs whose resources are not known
-	runs            map[specifier.RunKey]*run
-	endsOf          time.Time // start of the worker incarnation whose ends are counted by the following fields
-	handledEnd      uint64    // number of the last end handled
-	acknowledgedEnd uint64    // number of the last end that need not be reported again
-	ends            []*pendingEnd
-	health          health
-	pool            *pool // pool of its worker; nil until reported
-	place           placer.Place[*agent]
-	touched         bool // its place is out of date
-	indexedFree     int  // free milli-cores when its place was last updated; 0 without a place
+	name              string
+	stream            Stream // 0 while disconnected
+	incarnation       specifier.Incarnation
+	worker            *specifier.LeasedWorker // nil until reported
+	settled           bool                    // every run is listed, and no start with an earlier fencing token can happen any more
+	endsCut           bool                    // the worker has not listed all its ends to the agent
+	leaving           bool                    // the agent is being stopped
+	zone              string                  // availability zone of its host; empty if it has not said
+	evacuationVersion uint64                  // newest evacuation version that it has applied while none of its starts was under way
+	startsListedAt    time.Time               // when its complete list last showed that it has every order and that no run is starting
+	coldUntil         time.Time               // when the worker reaches its full speed, by its own account
+	listed            bool                    // has sent its list of runs on this stream and in this term
+	enrolling         bool                    // an Enroll or Dismiss command is in the log and not committed
+	noStartsUntil     time.Time               // after a refused start, because another one would be refused too
+	renewedAt         time.Time
+	grantUntil        time.Time
+	orderCount        uint64 // orders with a start or a stop
+	used              specifier.Resources
+	unknownRuns       int // runs whose resources are not known
+	runs              map[specifier.RunKey]*run
+	endsOf            time.Time // start of the worker incarnation whose ends are counted by the following fields
+	handledEnd        uint64    // number of the last end handled
+	acknowledgedEnd   uint64    // number of the last end that need not be reported again
+	ends              []*pendingEnd
+	health            health
+	pool              *pool // pool of its worker; nil until reported
+	place             placer.Place[*agent]
+	touched           bool // its place is out of date
+	indexedFree       int  // free milli-cores when its place was last updated; 0 without a place
 }
 
 // free returns the unused part of the worker's capacity. Runs that are being stopped still use their resources.
--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -31,6 +31,9 @@
 	case specifier.GetManifest:
 		d.getManifest(from)
 		return
+	case specifier.EvacuateZone, specifier.RestoreZone:
+		d.changeZone(from, event.Call)
+		return
 	}
 	if d.Recorder.Manifest().Version == 0 {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: time.Second, Detail: "there is no manifest yet"})
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -9,6 +9,7 @@
 
 // apply applies a committed command. A leader also continues what waits for the command and answers its callers.
 func (d *Dispatcher) apply(command specifier.QueueCommand) {
+	evacuationVersion := d.Recorder.EvacuationVersion()
 	d.Recorder.Apply(command)
 	if !d.leading {
 		return
@@ -31,6 +32,10 @@
 			d.touch(a)
 			d.enroll(a)
 		}
+	case command.Evacuate != "":
+		d.zoneCommitted(specifier.EvacuateZone, command.Evacuate, evacuationVersion)
+	case command.Restore != "":
+		d.zoneCommitted(specifier.RestoreZone, command.Restore, evacuationVersion)
 	}
 	for _, end := range command.Ends {
 		d.endRecorded(end)
@@ -150,6 +155,10 @@
 		d.wake(d.retryEndsAt, timer{})
 	case len(command.Announced) > 0 || command.Announcing != specifier.AnnouncingUnchanged:
 		d.announcementRejected(command)
+	case command.Evacuate != "":
+		d.zoneRejected(specifier.EvacuateZone, command.Evacuate, busy)
+	case command.Restore != "":
+		d.zoneRejected(specifier.RestoreZone, command.Restore, busy)
 	case command.Enroll != "" || command.Dismiss != "":
 		if a := d.agents[command.Enroll+command.Dismiss]; a != nil {
 			a.enrolling = false
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -49,6 +49,10 @@
 
 	rejectedEnds []specifier.TaskEnd // ends of tasks that the log did not accept
 	retryEndsAt  time.Time           // when rejectedEnds are proposed again
+
+	evacuations   []*evacuation  // sorted by zone
+	surveyAt      time.Time      // when the waiting work is next looked through while a zone is evacuated
+	strandedTasks map[string]int // by queue: tasks that waited for evacuated zones only at the last survey
 }
 
 // Step handles one event.
@@ -121,12 +125,15 @@
 		d.endRecovery()
 		d.retryRejectedEnds()
 		d.proposeAnnouncements()
+		d.confirmZones()
+		d.survey()
 		d.place()
 	}
 	for _, a := range d.orderedAgents {
 		if a.stream != 0 {
 			order := d.orders[a]
 			order.Token, order.OrderCount = d.fence(a), a.orderCount
+			order.Evacuated, order.EvacuationVersion = d.evacuated(a), d.Recorder.EvacuationVersion()
 			d.emit(Order{Stream: a.stream, Order: *order})
 		}
 	}
--- a/controller/dispatcher/fuzz_test.go
+++ b/controller/dispatcher/fuzz_test.go
@@ -58,8 +58,9 @@
 // FuzzCalls guards against a call of an entry that ends the leading controller.
 func FuzzCalls(f *testing.F) {
 	job := specifier.QueuedJob{ID: "a", Transient: true, Steps: []specifier.Step{{Count: 1, Estimate: time.Second, Resources: specifier.Resources{MilliCores: 1}, Label: "x", PerWorker: 1}}}
-	for _, verb := range []specifier.QueueVerb{specifier.SubmitQueued, specifier.QueryQueued, specifier.CancelQueued, specifier.PutManifest, specifier.GetManifest, specifier.AbandonQueued, 99} {
-		f.Add(mustEncode(f, encoder.EncodeQueueCall(1, specifier.QueueCall{Verb: verb, Host: "h", Path: "/q/a", Job: job, Age: math.MaxInt64,
+	for _, verb := range []specifier.QueueVerb{specifier.SubmitQueued, specifier.QueryQueued, specifier.CancelQueued, specifier.PutManifest, specifier.GetManifest, specifier.AbandonQueued,
+		specifier.EvacuateZone, specifier.RestoreZone, 99} {
+		f.Add(mustEncode(f, encoder.EncodeQueueCall(1, specifier.QueueCall{Verb: verb, Host: "h", Path: "/q/a", Zone: "a", Job: job, Age: math.MaxInt64,
 			Manifest: &specifier.Manifest{Version: math.MaxUint64, Queues: []specifier.Queue{{Name: "q", Stretch: math.NaN(), Priority: -1, Target: math.MinInt64}}}})))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -24,6 +24,7 @@
 	d.timers = container.Heap[timer]{Less: earlier}
 	d.manifestWaiters, d.orders = make(map[uint64][]waiter), make(map[*agent]*specifier.LeaseOrder)
 	d.orderedAgents, d.rejectedEnds = nil, nil
+	d.evacuations, d.surveyAt, d.strandedTasks = nil, time.Time{}, nil
 }
 
 // becomeLeader restores the recorded jobs that have not ended, and begins the recovery: no task is started before the agents have
@@ -40,6 +41,7 @@
 		d.wake(d.recoveryUntil, timer{})
 		d.wake(d.endsListedUntil(), timer{})
 	}
+	d.restoreEvacuations()
 	for _, id := range d.Recorder.OpenJobs() {
 		record := d.Recorder.Job(id)
 		queue, _ := d.Recorder.Manifest().QueueByName(record.Job.Queue)
--- a/controller/dispatcher/logevent.go
+++ b/controller/dispatcher/logevent.go
@@ -11,8 +11,11 @@
 	Agent  string
 	Queue  string
 	Detail string
-	Age    time.Duration // since the job arrived, the run started or the agent last renewed; for JobArrived, the critical path
+	// Age is since the job arrived, the run started, the agent last renewed, the leader stopped placing in the zone or the restore was
+	// proposed; for JobArrived, the critical path.
+	Age time.Duration
 	// Count is, for a job, its tasks that are not done; JobRefused: tasks in the ready queue; ManifestInForce: the version;
-	// QueuesLed and AgentsListed: agents; AgentLost: runs.
+	// QueuesLed and AgentsListed: agents; AgentLost: runs; ZoneEvacuated and ZoneRestored: agents of the zone, which is the Detail;
+	// WorkWaitsForZone: tasks.
 	Count int
 }
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -25,7 +25,7 @@
 // usable reports whether tasks may be started at the worker.
 func (d *Dispatcher) usable(a *agent) bool {
 	return a.stream != 0 && a.worker != nil && a.listed && a.settled && !a.leaving && !a.worker.Draining && !d.now.Before(a.noStartsUntil) &&
-		!d.silent(a) && d.Recorder.Enrolled(a.name)
+		!d.silent(a) && d.Recorder.Enrolled(a.name) && !d.zoneClosed(a)
 }
 
 // available reports whether the next task may be started at the worker.
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -24,6 +24,7 @@
 	if report.Worker != nil {
 		d.updateWorker(a, report.Worker)
 	}
+	d.noteStarts(a, report)
 	a.selectEnds(report)
 	if report.Renewal > 0 && d.Leading(d.now) && !d.announcementsLate() {
 		a.renewedAt, a.grantUntil = d.now, d.now.Add(d.Settings.GrantSpan)
@@ -107,6 +108,7 @@
 	}
 	if a.worker != nil && !a.worker.Draining && worker.Draining {
 		d.emit(LogEvent{Event: "WorkerDraining", Agent: a.name, Detail: worker.ID})
+		d.surveyAt = d.now
 	}
 	if a.worker == nil || !slices.Equal(a.worker.Labels, worker.Labels) {
 		a.indexedFree = 0 // tasks that could not run there may now
@@ -145,6 +147,7 @@
 		d.loseRun(r, specifier.EndLeaseExpired)
 	}
 	d.removeAgent(a)
+	d.surveyAt = d.now
 	delete(d.streams, a.stream)
 	if d.Recorder.Enrolled(a.name) {
 		d.propose(specifier.QueueCommand{Dismiss: a.name})
--- a/state/jobrecorder/evacuation.go
+++ b/state/jobrecorder/evacuation.go
@@ -8,6 +8,9 @@
 // Evacuated reports whether no task may be started in the availability zone.
 func (r *Recorder) Evacuated(zone string) bool { return r.evacuatedZones[zone] }
 
+// AnyEvacuated reports whether a zone is evacuated.
+func (r *Recorder) AnyEvacuated() bool { return len(r.evacuatedZones) > 0 }
+
 // EvacuatedZones returns the availability zones in which no task may be started, sorted.
 func (r *Recorder) EvacuatedZones() []string { return slices.Sorted(maps.Keys(r.evacuatedZones)) }
 
