--- a/controller/driver/measured.go
+++ b/controller/driver/measured.go
@@ -1,6 +1,9 @@
 package driver
 
-import "oleandertally/core/specifier"
+import (
+	"oleandertally/controller/dispatcher"
+	"oleandertally/core/specifier"
+)
 
 // Measured answers Measure.
 type Measured struct {
@@ -12,4 +15,5 @@
 	Submissions int
 	Revision    specifier.Revision
 	Members     []specifier.Member
+	Waiting     []dispatcher.WaitingTasks
 }
--- a/controller/driver/requests.go
+++ b/controller/driver/requests.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleandertally/controller/dispatcher"
 	"oleandertally/state/replicator"
 )
 
@@ -30,7 +31,11 @@
 // measure returns the figures of this controller.
 func (d *Driver) measure(now time.Time, request Measure) {
 	registrar := d.Sequencer.Registrar
-	d.actions = append(d.actions, Action{Measured: &Measured{Ticket: request.Ticket, Term: uint64(d.Node.Term()), Leading: d.Node.Leading(now),
+	var waiting []dispatcher.WaitingTasks
+	if request.Waiting {
+		waiting = d.Dispatcher.Waiting()
+	}
+	d.actions = append(d.actions, Action{Measured: &Measured{Ticket: request.Ticket, Waiting: waiting, Term: uint64(d.Node.Term()), Leading: d.Node.Leading(now),
 		Commit: uint64(d.Node.Commit()), Applied: uint64(d.Node.Applied()), Submissions: registrar.SubmissionCount(),
 		Revision: registrar.Configuration().Revision, Members: registrar.Members()}})
 }
--- a/controller/server/health.go
+++ b/controller/server/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"oleandertally/controller/dispatcher"
 	"oleandertally/controller/driver"
 	"oleandertally/state/replicator"
 )
@@ -15,13 +16,20 @@
 
 // Probe returns nil once the control goroutine has answered an event.
 func (c *Controller) Probe(ctx context.Context) error {
-	_, err := c.measure(ctx)
+	_, err := c.measure(ctx, driver.Measure{})
 	return err
 }
 
-func (c *Controller) measure(ctx context.Context) (driver.Measured, error) {
+// Waiting returns the numbers of tasks that wait for a worker. They are empty unless this controller leads.
+func (c *Controller) Waiting(ctx context.Context) ([]dispatcher.WaitingTasks, error) {
+	measured, err := c.measure(ctx, driver.Measure{Waiting: true})
+	return measured.Waiting, err
+}
+
+func (c *Controller) measure(ctx context.Context, request driver.Measure) (driver.Measured, error) {
 	return c.measures.ask(ctx, func(ticket uint64) driver.Event {
-		return driver.Event{Measure: &driver.Measure{Ticket: ticket}}
+		request.Ticket = ticket
+		return driver.Event{Measure: &request}
 	})
 }
 
--- a/controller/server/metrics.go
+++ b/controller/server/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"oleandertally/controller/driver"
 	"oleandertally/core/specifier"
 )
 
@@ -11,7 +12,7 @@
 func (c *Controller) MetricsHandler() http.Handler {
 	metrics := c.Metrics.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		measured, err := c.measure(r.Context())
+		measured, err := c.measure(r.Context(), driver.Measure{})
 		if err != nil {
 			http.Error(w, "the control goroutine does not answer", http.StatusServiceUnavailable)
 			return
--- a/core/exporter/page_test.go
+++ b/core/exporter/page_test.go
@@ -82,6 +82,7 @@
 	queues.Event("JobArrived")
 	queues.Request("GET", 200, time.Second)
 	queues.Job("Completed", time.Second)
+	queues.SetWaiting("q", "Room", 1)
 	for _, registry := range []*prometheus.Registry{entry.Registry(), NewAgent().Registry(), NewController().Registry(), queues.Registry()} {
 		families, err := registry.Gather()
 		must.NoError(t, err)
@@ -149,6 +150,7 @@
 	t.Run("roles", func(t *testing.T) { assertListed(t, "../specifier/role.go", roles) })
 	t.Run("causes", func(t *testing.T) { assertListed(t, "../../agent/executor/cause.go", causes) })
 	t.Run("states", func(t *testing.T) { assertListed(t, "../specifier/memberstate.go", states) })
+	t.Run("waiting reasons", func(t *testing.T) { assertListed(t, "../../controller/dispatcher/waitingreason.go", waitingReasons) })
 }
 
 func assertValue(t *testing.T, registry *prometheus.Registry, name string, labels map[string]string, want float64) {
--- a/core/exporter/queues.go
+++ b/core/exporter/queues.go
@@ -16,6 +16,7 @@
 	events   *prometheus.CounterVec
 	requests *prometheus.HistogramVec
 	jobs     *prometheus.HistogramVec
+	waiting  *prometheus.GaugeVec
 }
 
 // NewQueues returns the metrics on a new registry. dropped returns how many log lines were dropped.
@@ -26,10 +27,11 @@
 		events:   counters(subsystem, "events_total", "Decisions and changes, by the event of their log line.", "event"),
 		requests: histograms(subsystem, "request_seconds", "Time from a request to its answer, by method and status.", durationBuckets, "method", "status"),
 		jobs:     histograms(subsystem, "job_seconds", "Time from the arrival of a job to its end, by outcome.", durationBuckets, "outcome"),
+		waiting:  gauges(subsystem, "waiting_tasks", "Tasks that wait for a worker, by queue and reason.", "queue", "reason"),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_dropped_total",
 		Help: "Log lines that nobody read in time."}, func() float64 { return float64(dropped()) })
-	q.registry.MustRegister(q.events, q.requests, q.jobs, lines)
+	q.registry.MustRegister(q.events, q.requests, q.jobs, q.waiting, lines)
 	q.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return q
 }
@@ -60,3 +62,14 @@
 func (q *Queues) Job(outcome string, took time.Duration) {
 	q.jobs.WithLabelValues(knownOrOther(queueOutcomes, outcome)).Observe(took.Seconds())
 }
+
+// waitingReasons are the label values for what waiting tasks wait for.
+var waitingReasons = []string{"Room", "Evacuated"}
+
+// SetWaiting reports how many tasks of a queue wait for a reason. The queues are those of the manifest, which bounds their number.
+func (q *Queues) SetWaiting(queue, reason string, tasks int) {
+	q.waiting.WithLabelValues(queue, knownOrOther(waitingReasons, reason)).Set(float64(tasks))
+}
+
+// ResetWaiting forgets the queues that were reported, before the present ones are.
+func (q *Queues) ResetWaiting() { q.waiting.Reset() }
