Evacuations and withdrawals among the random schedules of the queues

TestQueueGuarantees now has an operator for each of two zones, whose answers are lost at times, links that are slow around the orders, and an agent of an earlier version in some worlds. No task may start in a zone between the acknowledgement of its evacuation and the sending of the withdrawal, also by a start that is carried out late. Schedules that once failed stay without evacuations, as they were.

--- a/local/simulator/fakeagent_test.go
+++ b/local/simulator/fakeagent_test.go
@@ -15,11 +15,13 @@
 	worker            *fakeWorker
 	machine           *leaseholder.LeaseHolder
 	incarnation       int
+	oldVersion        bool // it knows nothing of zones
 	stream            dispatcher.Stream
 	leader            *fakeLeader // nil while no stream is open
 	term              uint64      // the leader's term when the stream opened
 	partitionedUntil  time.Time
-	streamBroken      bool // the stream has lost a message, so later ones are lost too
+	slowUntil         time.Time // until then, messages from and to the leader take long
+	streamBroken      bool      // the stream has lost a message, so later ones are lost too
 	wakeAt            time.Time
 	lastReportArrival time.Time // arrival of the last message to the leader; later messages arrive after it
 	lastOrderArrival  time.Time // arrival of the last message from the leader
@@ -27,9 +29,10 @@
 
 var lastStreamID dispatcher.Stream
 
-func newFakeAgent(w *world, name string) *fakeAgent {
+func newFakeAgent(w *world, name, zone string, oldVersion bool) *fakeAgent {
 	a := &fakeAgent{world: w, name: name}
 	a.worker = newFakeWorker(w, name)
+	a.worker.zone, a.oldVersion = zone, oldVersion
 	a.worker.announce = a.announceWorker
 	a.start()
 	return a
@@ -40,6 +43,9 @@
 	a.leader = nil
 	a.machine = &leaseholder.LeaseHolder{Name: a.name, Incarnation: specifier.Incarnation(a.incarnation), GrantSpan: dispatcher.Defaults().GrantSpan,
 		MaxLease: time.Second, StartedAt: a.world.now}
+	if !a.oldVersion {
+		a.machine.Zone = a.worker.zone
+	}
 	a.maintainStream()
 	incarnation := a.incarnation
 	a.world.after(a.world.randomDuration(0, time.Second), func() {
@@ -69,6 +75,14 @@
 	}
 }
 
+// linkDelay returns how long a message between the agent and the leader takes.
+func (a *fakeAgent) linkDelay() time.Duration {
+	if a.world.now.Before(a.slowUntil) {
+		return a.world.randomDuration(time.Millisecond, maxSlowDelay)
+	}
+	return a.world.randomDuration(time.Millisecond, 4*time.Millisecond)
+}
+
 // disconnect closes the stream and reports this to the lease holder.
 func (a *fakeAgent) disconnect() {
 	a.closeStream()
@@ -123,7 +137,10 @@
 	if a.leader != leader || order.Stream != a.stream {
 		return
 	}
-	arrives := latest(w.now.Add(w.randomDuration(time.Millisecond, 4*time.Millisecond)), a.lastOrderArrival)
+	if a.oldVersion {
+		order.Order.Evacuated, order.Order.EvacuationVersion = false, 0
+	}
+	arrives := latest(w.now.Add(a.linkDelay()), a.lastOrderArrival)
 	a.lastOrderArrival = arrives
 	w.after(arrives.Sub(w.now), func() {
 		a.streamBroken = a.streamBroken || w.now.Before(a.partitionedUntil)
@@ -165,7 +182,7 @@
 	if leader == nil || a.streamBroken {
 		return
 	}
-	arrives := latest(w.now.Add(w.randomDuration(time.Millisecond, 4*time.Millisecond)), a.lastReportArrival)
+	arrives := latest(w.now.Add(a.linkDelay()), a.lastReportArrival)
 	a.lastReportArrival = arrives
 	w.after(arrives.Sub(w.now), func() { leader.step(dispatcher.ReportReceived{Stream: stream, Report: report}) })
 }
--- a/local/simulator/fakeleader_test.go
+++ b/local/simulator/fakeleader_test.go
@@ -57,6 +57,9 @@
 			for _, canceller := range w.cancellers {
 				canceller.handleReply(l, action)
 			}
+			for _, operator := range w.operators {
+				operator.handleReply(l, action)
+			}
 		case dispatcher.LogEvent:
 			w.logf("controller %d: %s job=%s task=%s run=%d agent=%s %s", l.index, action.Event, action.Job, action.Task, action.Run, action.Agent, action.Detail)
 		}
--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -31,6 +31,7 @@
 type fakeWorker struct {
 	world        *world
 	name         string
+	zone         string
 	up           bool
 	incarnation  int
 	startedAt    time.Time
@@ -202,6 +203,9 @@
 	w, key := f.world, call.Start.Key
 	run := &workerRun{key: key, resources: call.Start.Resources, worker: f, incarnation: f.incarnation}
 	w.logf("%s: run %v starts", f.name, key)
+	for _, operator := range w.operators {
+		operator.checkStart(f, key)
+	}
 	if other := w.running[key.Task]; other != nil {
 		w.failf("task %s runs twice: run %d at %s and run %d at %s", key.Task, other.key.Run, other.worker.name, key.Run, f.name)
 	}
--- a/local/simulator/schedule_test.go
+++ b/local/simulator/schedule_test.go
@@ -12,15 +12,16 @@
 )
 
 // Guards against a task that runs twice, a worker over its capacity, a start after an acknowledged end, a refused job that ran,
-// and a job that is never answered or never ends. Leaders, agents and workers fail meanwhile, and calls are carried out late.
-func TestQueueGuarantees(t *testing.T) { runSchedules(t, (*world).schedule) }
+// a job that is never answered or never ends, and a start in a zone between the acknowledgement of its evacuation and the withdrawal.
+// Leaders, agents and workers fail meanwhile, and calls are carried out late.
+func TestQueueGuarantees(t *testing.T) { runSchedules(t, (*world).scheduleWithEvacuations) }
 
 // failedSeeds maps the seed of each schedule that once failed to the fault that it revealed.
 var failedSeeds = map[uint64]string{
 	20891: "two leaders counted the same failure of a run, and the recorded end of one run made the worker delete that of another",
 }
 
-// Guards against regressions: each of these schedules once revealed a fault.
+// Guards against regressions: each of these schedules, which have no evacuations, once revealed a fault.
 func TestFailedSchedules(t *testing.T) {
 	for seed := range failedSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed, (*world).schedule) })
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -33,6 +33,9 @@
 	// warmUp is the time before the faults in a world whose leaders announce jobs.
 	warmUp     = 6 * time.Second
 	minRunTime = 20 * time.Millisecond
+	zoneCount  = 2
+	// maxSlowDelay is longer than the log takes to commit, so that starts ordered before an evacuation arrive after its commit.
+	maxSlowDelay = 250 * time.Millisecond
 	// cancelledJobs have fewer tasks together than fit into the workers.
 	cancelledJobs = 2
 	// endsPerSmallPage is the number of ends in one answer of most worlds' workers. A page that is full may have a next one.
@@ -59,19 +62,21 @@
 	agents        []*fakeAgent
 	callers       []*fakeCaller
 	cancellers    []*fakeCanceller
-	running       map[string]*workerRun // by task, on live workers
-	acknowledged  map[string]bool       // tasks whose end as done was acknowledged
-	starts        map[string]int        // started runs by task
-	started       map[string]bool       // jobs with at least one started task
-	announcing    bool                  // leaders announce the jobs that they may start
-	endsPerPage   int                   // the most ends that a worker lists in one answer
-	slowUntil     time.Time             // until then the log commits slowly
+	operators     []*fakeOperator
+	zoneOrders    map[specifier.QueueVerb]int // acknowledged orders
+	running       map[string]*workerRun       // by task, on live workers
+	acknowledged  map[string]bool             // tasks whose end as done was acknowledged
+	starts        map[string]int              // started runs by task
+	started       map[string]bool             // jobs with at least one started task
+	announcing    bool                        // leaders announce the jobs that they may start
+	endsPerPage   int                         // the most ends that a worker lists in one answer
+	slowUntil     time.Time                   // until then the log commits slowly
 	logLines      []string
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), timers: container.Heap[timer]{Less: earlier},
-		faultsEnabled: true, leaderIndex: -1, running: make(map[string]*workerRun), acknowledged: make(map[string]bool), started: make(map[string]bool), starts: make(map[string]int)}
+		faultsEnabled: true, leaderIndex: -1, running: make(map[string]*workerRun), acknowledged: make(map[string]bool), started: make(map[string]bool), starts: make(map[string]int), zoneOrders: make(map[specifier.QueueVerb]int)}
 	w.announcing, w.endsPerPage = seed%2 == 0, endsPerSmallPage
 	if seed%4 == 3 { // the workers of these worlds never have as many ends
 		w.endsPerPage = math.MaxInt
@@ -87,7 +92,8 @@
 		w.leaders = append(w.leaders, l)
 	}
 	for i := range agentCount {
-		w.agents = append(w.agents, newFakeAgent(w, fmt.Sprintf("agent-%d", i)))
+		oldVersion := seed%5 == 1 && i == agentCount-1
+		w.agents = append(w.agents, newFakeAgent(w, fmt.Sprintf("agent-%d", i), zoneName(i%zoneCount), oldVersion))
 	}
 	w.elect(0)
 	w.commit(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, NonEnforcingPools: []string{poolName}, Queues: []specifier.Queue{
@@ -95,6 +101,8 @@
 	return w
 }
 
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
 // commitDelay returns how long the log takes to commit a proposal.
 func (w *world) commitDelay() time.Duration {
 	if w.now.Before(w.slowUntil) {
@@ -210,6 +218,24 @@
 	w.schedulePlain()
 }
 
+// scheduleWithEvacuations adds operators that evacuate and restore the zones, and slow links, in two of three worlds.
+func (w *world) scheduleWithEvacuations() {
+	w.schedule()
+	if w.seed%3 == 0 {
+		return
+	}
+	for zone := range zoneCount {
+		operator := &fakeOperator{world: w, zone: zoneName(zone), random: rand.New(rand.NewPCG(w.seed, uint64(100+zone)))}
+		w.operators = append(w.operators, operator)
+		w.after(operator.between(500*time.Millisecond, 3*time.Second), operator.evacuate)
+		for _, agent := range w.agents {
+			w.after(operator.between(0, faultTime), func() {
+				agent.slowUntil = w.now.Add(operator.between(200*time.Millisecond, 2*time.Second))
+			})
+		}
+	}
+}
+
 // loseAround deposes the leader around the time at which an agent becomes unreachable and half of the callers lose their entries: runs
 // that the next leader does not know of may still go on when their callers come back.
 func (w *world) loseAround() {
@@ -286,6 +312,9 @@
 	for _, canceller := range w.cancellers {
 		canceller.check()
 	}
+	for _, operator := range w.operators {
+		operator.check()
+	}
 	if at := slices.IndexFunc(w.leaders, func(l *fakeLeader) bool { return l.index == w.leaderIndex }); at >= 0 {
 		for _, id := range w.leaders[at].machine.Recorder.OpenJobs() {
 			w.failf("recorded job %s has not ended %v after the last fault", id, settleTime)
