--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -129,10 +129,10 @@
 	c.mailbox = looper.NewMailbox[driver.Event](mailboxSize)
 	c.registry = &registry{mailbox: c.mailbox, security: c.Security}
 	c.registry.lastID.Store(uint64(operatorStream))
-	c.queues = newQueues(c.mailbox, c.Clock, c.Log)
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	c.queues = newQueues(c.mailbox, c.Clock, c.Log)
 	c.joins = &pendingCalls[driver.JoinAnswered]{mailbox: c.mailbox}
 	c.transfers = &pendingCalls[driver.LeadershipTransferred]{mailbox: c.mailbox}
 	c.measures = &pendingCalls[driver.Measured]{mailbox: c.mailbox}
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,8 +52,9 @@
 	book  addressBook
 	named netip.AddrPort // leader that the controller named at the end of the last stream; zero if it named none
 
-	direct *probe[In, Out] // replaces the relayed stream that it ended; nil for none
-	lost   netip.AddrPort  // relay of the last stream; zero if that was direct
+	dial   func(ctx context.Context, r route) (net.Conn, error) // nil for the network; tests cut connections
+	direct *probe[In, Out]                                      // replaces the relayed stream that it ended; nil for none
+	lost   netip.AddrPort                                       // relay of the last stream; zero if that was direct
 }
 
 // Run keeps the stream open until ctx ends, and returns the context's error.
@@ -76,6 +78,9 @@
 }
 
 func (l *Locator[In, Out]) prepare() {
+	if l.dial == nil {
+		l.dial = func(ctx context.Context, r route) (net.Conn, error) { return r.dial(ctx) }
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.book.seeds, l.book.ownRelay, l.book.next = l.Seeds, l.OwnRelay, rand.IntN(maxFirstAddress)
--- a/core/locator/probe.go
+++ b/core/locator/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -32,9 +33,11 @@
 
 // open connects and opens the stream.
 func (p *probe[In, Out]) open(l *Locator[In, Out]) error {
+	// gRPC passes the address of the controller, which the route holds.
+	dial := func(ctx context.Context, _ string) (net.Conn, error) { return l.dial(ctx, p.route) }
 	var err error
 	p.conn, err = grpc.NewClient("passthrough:///"+p.route.controller.String(), grpc.WithTransportCredentials(l.Credentials),
-		grpc.WithContextDialer(p.route.dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
+		grpc.WithContextDialer(dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
 	if err != nil {
 		return errors.Wrapf(err, "locator: connect to %s", p.route)
 	}
--- a/core/locator/relayplan.go
+++ b/core/locator/relayplan.go
@@ -14,6 +14,8 @@
 	// answerSpan is how long a controller that can be reached and knows no leader, or is itself named as the leader, keeps the search
 	// from trying relays: the controllers are then electing one, or the new one is busy with all its clients.
 	answerSpan = 600 * time.Millisecond
+	// electionSpan is longer than most elections. Controllers that know no leader for longer may be cut off from it themselves.
+	electionSpan = 700 * time.Millisecond
 	// relayInterval is the time between two attempts through relays, and slowInterval the same after the first quickAttempts.
 	relayInterval = 250 * time.Millisecond
 	slowInterval  = time.Second
@@ -78,7 +80,7 @@
 	case p.named.IsValid():
 		at = latest(p.startAt.Add(namedDelay), latest(p.namedAt.Add(relayDelay), p.openedAt[p.named].Add(answerSpan)))
 	default:
-		at = p.answeredAt.Add(answerSpan)
+		at = earliest(p.answeredAt.Add(answerSpan), p.startAt.Add(electionSpan))
 	}
 	return latest(at, p.retryAt)
 }
@@ -128,3 +130,10 @@
 	}
 	return b
 }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/locator/tunnel.go
+++ b/core/locator/tunnel.go
@@ -33,9 +33,8 @@
 // Read reads what the controller sent.
 func (t *tunnel) Read(p []byte) (int, error) { return t.reader.Read(p) }
 
-// dial connects to the controller. The connection fails soon after the other side stops acknowledging sent bytes. It ignores the
-// address that gRPC passes, which is the controller's.
-func (r route) dial(ctx context.Context, _ string) (net.Conn, error) {
+// dial connects to the controller. The connection fails soon after the other side stops acknowledging sent bytes.
+func (r route) dial(ctx context.Context) (net.Conn, error) {
 	if !r.isRelayed() {
 		return dialer.NewTCP(dialTimeout).DialContext(ctx, "tcp", r.controller.String())
 	}
--- a/entry/requester/machine_test.go
+++ b/entry/requester/machine_test.go
@@ -196,3 +196,21 @@
 		must.MapLen(t, before, f.answers)
 	})
 }
+
+func TestRelay(t *testing.T) {
+	t.Run("the first message on each stream announces it", func(t *testing.T) {
+		// Guards against a new leader that knows no relays.
+		f := newFixture(t)
+		f.machine.relay = "127.0.0.9:7001"
+		f.call(specifier.SubmitQueued)
+		for range 2 {
+			actions := f.machine.Step(f.now, connected{looper.NewOutbox[*encoder.QueueCalls]()})
+			must.Eq(t, "127.0.0.9:7001", merge([]*encoder.QueueCalls{actions[0].message, actions[1].message})[0].Relay)
+			f.step(disconnected{})
+		}
+	})
+	t.Run("a process without one sends no further message", func(t *testing.T) {
+		f := newFixture(t)
+		must.SliceEmpty(t, f.machine.Step(f.now, connected{looper.NewOutbox[*encoder.QueueCalls]()}))
+	})
+}
