Evacuate and restore a zone with tally drain -zone and tally resume -zone

Cause: draining a zone marked the members of the product's own path only, while the operator's HTTP order closed the zone in the queues only.

The commands now also send the order to the leading controller (Operator.EvacuateZone), which answers once it is in force everywhere; tally status lists the zones of the queues.

--- a/controller/driver/status.go
+++ b/controller/driver/status.go
@@ -26,6 +26,9 @@
 	registrar := d.Sequencer.Registrar
 	state := operator.State{Configuration: registrar.Configuration(), Operator: registrar.LastOperator(), Members: registrar.Members(),
 		Controllers: d.controllers(now)}
+	for _, zone := range d.Dispatcher.Zones() {
+		state.QueueZones = append(state.QueueZones, operator.QueueZone{Name: zone.Name, Workers: zone.Workers, Evacuated: zone.Evacuated})
+	}
 	loads := d.Sequencer.Loads()
 	for _, member := range state.Members {
 		if load, known := loads[member.Identity]; known {
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -136,7 +136,7 @@
 	c.joins = &pendingCalls[driver.JoinAnswered]{mailbox: c.mailbox}
 	c.transfers = &pendingCalls[driver.LeadershipTransferred]{mailbox: c.mailbox}
 	c.measures = &pendingCalls[driver.Measured]{mailbox: c.mailbox}
-	c.operators = &operators{decisions: pendingCalls[specifier.Decision]{mailbox: c.mailbox}, reads: pendingCalls[driver.ReadAnswered]{mailbox: c.mailbox}}
+	c.operators = &operators{decisions: pendingCalls[specifier.Decision]{mailbox: c.mailbox}, reads: pendingCalls[driver.ReadAnswered]{mailbox: c.mailbox}, queues: c.queues}
 	c.fault, c.ended = make(chan error, 1), make(chan struct{})
 	var err error
 	if c.disk, c.recovered, err = c.openDisk(); err != nil {
@@ -182,7 +182,7 @@
 	server := dialer.NewGuardedServer(c.handlerFailed, append(c.Security.ServerOptions(guard, c.MaxMessage), c.serverOptions...)...)
 	encoder.RegisterRegistryServer(server, c.registry)
 	encoder.RegisterQueueKeeperServer(server, c.queues)
-	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Identify: c.Security.CheckOperator})
+	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Evacuate: c.operators.evacuate, Identify: c.Security.CheckOperator})
 	encoder.RegisterTimelineServer(server, &operator.Timeline{Buffer: c.Events})
 	contacts := &contacts{}
 	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security, contacts: contacts})
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -80,6 +80,20 @@
 	})
 }
 
+// Evacuate sends an order about an availability zone, and returns once it is in force everywhere. The order is idempotent, so it is sent
+// again when the answer is lost.
+func (c *Client) Evacuate(ctx context.Context, requestID, operator string, order Evacuation) error {
+	message := &encoder.EvacuationRequest{RequestId: requestID, Operator: operator, Zone: order.Zone, Restore: order.Restore}
+	_, err := callLeader(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*encoder.EvacuationReply, error) {
+		reply, err := encoder.NewOperatorClient(conn).EvacuateZone(ctx, message)
+		if err == nil && reply.GetNotLeader() {
+			return nil, &NotLeaderError{Leader: decodeAddr(&specifier.Problems{}, "Leader", reply.GetLeader())}
+		}
+		return reply, err
+	})
+	return err
+}
+
 // Gather fetches the events of the process at addr that filter selects. The span of filter is not applied.
 func (c *Client) Gather(ctx context.Context, addr netip.AddrPort, filter recorder.Filter) (merger.Log, error) {
 	request := &encoder.EventsRequest{Worker: filter.Worker}
--- a/core/operator/messages.go
+++ b/core/operator/messages.go
@@ -27,6 +27,9 @@
 			Leading: c.Leading, Learner: c.Learner, Term: c.Term, CommitIndex: c.CommitIndex, AppliedIndex: c.AppliedIndex,
 			SinceHeard: int64(c.SinceHeard), SyncedIndex: c.SyncedIndex})
 	}
+	for _, zone := range state.QueueZones {
+		m.QueueZones = append(m.QueueZones, &encoder.QueueZone{Name: zone.Name, Workers: uint32(zone.Workers), Evacuated: zone.Evacuated})
+	}
 	return m
 }
 
@@ -54,6 +57,11 @@
 			state.Controllers = append(state.Controllers, decodeController(found, indexed("Controllers", i), item))
 		}
 	}
+	if checkCount(found, "QueueZones", len(m.GetQueueZones())) {
+		for _, item := range m.GetQueueZones() {
+			state.QueueZones = append(state.QueueZones, QueueZone{Name: item.GetName(), Workers: int(item.GetWorkers()), Evacuated: item.GetEvacuated()})
+		}
+	}
 	if problems := found.OrNil(); problems != nil {
 		return State{}, problems
 	}
--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -17,6 +17,8 @@
 	encoder.UnimplementedOperatorServer
 	Propose Propose
 	State   Read
+	// Evacuate may be nil, in which case the service refuses such orders.
+	Evacuate Evacuate
 	// Identify returns the operator whose token came with a call, or an error when the token is invalid. When the name is
 	// empty, the server accepts the name in the request. A nil Identify admits every call.
 	Identify func(ctx context.Context) (string, error)
@@ -42,13 +44,9 @@
 
 // Change proposes the command of the request.
 func (s *Server) Change(ctx context.Context, request *encoder.ChangeRequest) (*encoder.ChangeReply, error) {
-	name, err := s.identify(ctx)
-	if err != nil {
+	if err := s.admit(ctx, request.GetOperator()); err != nil {
 		return nil, err
 	}
-	if name != "" && name != request.GetOperator() {
-		return nil, status.Errorf(codes.PermissionDenied, "Operator: is %.64q, but the token is that of %q", request.GetOperator(), name)
-	}
 	command, err := encoder.DecodeCommand(request.GetCommand())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
@@ -63,6 +61,39 @@
 	return &encoder.ChangeReply{Decision: encoder.EncodeDecision(decision)}, nil
 }
 
+// EvacuateZone carries out the order of the request.
+func (s *Server) EvacuateZone(ctx context.Context, request *encoder.EvacuationRequest) (*encoder.EvacuationReply, error) {
+	if err := s.admit(ctx, request.GetOperator()); err != nil {
+		return nil, err
+	}
+	if s.Evacuate == nil {
+		return nil, status.Error(codes.Unimplemented, "this process has no queues")
+	}
+	err := s.Evacuate(ctx, Evacuation{Zone: request.GetZone(), Restore: request.GetRestore()})
+	var notLeader *NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return &encoder.EvacuationReply{NotLeader: true, Leader: addressText(notLeader.Leader)}, nil
+	case errors.Is(err, ErrInvalid):
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &encoder.EvacuationReply{}, nil
+}
+
+// admit returns a gRPC error unless the caller may act under the operator's name.
+func (s *Server) admit(ctx context.Context, operator string) error {
+	name, err := s.identify(ctx)
+	if err != nil {
+		return err
+	}
+	if name != "" && name != operator {
+		return status.Errorf(codes.PermissionDenied, "Operator: is %.64q, but the token is that of %q", operator, name)
+	}
+	return nil
+}
+
 // checkPermitted returns an error unless an operator may send the command and the request agrees with the command.
 func checkPermitted(request *encoder.ChangeRequest, command specifier.Command) error {
 	switch command := command.(type) {
--- a/core/operator/state.go
+++ b/core/operator/state.go
@@ -1,6 +1,10 @@
 package operator
 
-import "oleandertally/core/specifier"
+import (
+	"slices"
+
+	"oleandertally/core/specifier"
+)
 
 // State is the state of the system that the leading controller returns to an operator.
 type State struct {
@@ -9,6 +13,7 @@
 	Members       []specifier.Member      // sorted by name
 	Loads         []MemberLoad            // of the members whose load the leader knows
 	Controllers   []ControllerStatus
+	QueueZones    []QueueZone // sorted by name
 }
 
 // Load returns the load of a member, and whether it is known.
@@ -20,3 +25,12 @@
 	}
 	return specifier.Load{}, false
 }
+
+// QueueZone returns an availability zone as the queues use it, and whether they know it.
+func (s State) QueueZone(name string) (QueueZone, bool) {
+	at := slices.IndexFunc(s.QueueZones, func(zone QueueZone) bool { return zone.Name == name })
+	if at < 0 {
+		return QueueZone{Name: name}, false
+	}
+	return s.QueueZones[at], true
+}
--- a/tally/change.go
+++ b/tally/change.go
@@ -6,6 +6,7 @@
 type change struct {
 	Request  string
 	Member   string `json:",omitempty"`
+	Zone     string `json:",omitempty"` // availability zone that the queues start nothing in, or start tasks in again
 	From     specifier.Revision
 	Verdict  specifier.Verdict
 	Revision specifier.Revision // the revision in force
--- a/tally/drain.go
+++ b/tally/drain.go
@@ -8,7 +8,8 @@
 const drainUsage = `tally drain [flags] [NAME ...]
   Takes members out of service: they finish what they have and take nothing new.
 
-The change outlives restarts of the member, until resume. It does not wait; stop does.
+The change outlives restarts of the member, until resume. It does not wait; stop does. With -zone, the queues also
+start no task in the zone any more, from the moment that the command returns; what runs there goes on.
 
 Flags:
 ` + memberFlags + requestFlags + connectionFlags + `
--- a/tally/fake_test.go
+++ b/tally/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 	f.state = sampleState()
 	f.history.Add(f.state.Configuration)
 	server := grpc.NewServer()
-	encoder.RegisterOperatorServer(server, &operator.Server{Propose: f.propose, State: f.read})
+	encoder.RegisterOperatorServer(server, &operator.Server{Propose: f.propose, State: f.read, Evacuate: f.evacuate})
 	encoder.RegisterTimelineServer(server, &operator.Timeline{Buffer: &f.buffer})
 	var group errgroup.Group
 	group.Go(func() error {
@@ -72,6 +73,15 @@
 	return f
 }
 
+// evacuate marks the zone in the state. A zone without a worker of the queues is added.
+func (f *fake) evacuate(_ context.Context, order operator.Evacuation) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.state.QueueZones = slices.DeleteFunc(f.state.QueueZones, func(zone operator.QueueZone) bool { return zone.Name == order.Zone })
+	f.state.QueueZones = append(f.state.QueueZones, operator.QueueZone{Name: order.Zone, Workers: 3, Evacuated: !order.Restore})
+	return nil
+}
+
 func sampleState() operator.State {
 	member := func(name string, role specifier.Role, zone string, state specifier.MemberState) specifier.Member {
 		slots := 0
--- a/tally/members.go
+++ b/tally/members.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"oleandertally/core/operator"
 	"oleandertally/core/specifier"
 )
@@ -42,14 +44,15 @@
 			return nil, fail(exitFailed, "see the names with: tally status", "no member is named %q", name)
 		}
 	}
-	if len(found) == 0 {
-		return nil, fail(exitFailed, "see the names with: tally status", "no member that runs is in zone %q", m.zone)
+	if _, known := state.QueueZone(m.zone); len(found) == 0 && !known {
+		return nil, fail(exitFailed, "see the names with: tally status", "no member that runs and no worker of the queues is in zone %q", m.zone)
 	}
 	return found, nil
 }
 
 // setDraining sends the change for each selected member, and returns the members and the decisions. A refusal does not stop
-// the changes for the other members, so that a zone is not left half drained.
+// the changes for the other members, so that a zone is not left half drained. A zone is also evacuated or restored in the queues, so that it is
+// out of service as a whole.
 func (m *members) setDraining(ctx context.Context, names []string, draining bool) ([]specifier.Member, []change, error) {
 	client, err := m.client()
 	if err != nil {
@@ -67,6 +70,13 @@
 		return nil, nil, err
 	}
 	var changes []change
+	if m.zone != "" {
+		evacuated, err := m.evacuate(ctx, client, operator.Evacuation{Zone: m.zone, Restore: !draining})
+		if err != nil {
+			return found, nil, err
+		}
+		changes = append(changes, evacuated)
+	}
 	var refused []string
 	for _, member := range found {
 		decision, err := m.send(ctx, client, specifier.DrainMember{Name: member.Name, Draining: draining})
@@ -84,14 +94,35 @@
 	return found, changes, nil
 }
 
-// print writes the decision for each member.
+// evacuate sends the order about the selected zone and returns it as a change.
+func (m *members) evacuate(ctx context.Context, client *operator.Client, order operator.Evacuation) (change, error) {
+	err := client.Evacuate(ctx, m.id, m.operator, order)
+	var unreachable *operator.UnreachableError
+	if errors.As(err, &unreachable) {
+		return change{}, fail(exitUnreachable, "give the same command again", "%v", err)
+	}
+	if err != nil {
+		return change{}, explain(err)
+	}
+	detail := "the queues start no task there"
+	if order.Restore {
+		detail = "the queues start tasks there"
+	}
+	return change{Request: m.id, Zone: order.Zone, Verdict: specifier.Applied, Detail: detail}, nil
+}
+
+// print writes the decision for each member and zone.
 func (m *members) print(changes []change) error {
 	if m.json {
 		return writeJSON(m.env.stdout, changes)
 	}
 	var rows [][]string
 	for _, c := range changes {
-		rows = append(rows, []string{c.Member, string(c.Verdict), orDash(c.Detail)})
+		name := c.Member
+		if c.Zone != "" {
+			name = "zone " + c.Zone
+		}
+		rows = append(rows, []string{name, string(c.Verdict), orDash(c.Detail)})
 	}
 	writeTable(m.env.stdout, []string{"MEMBER", "VERDICT", "DETAIL"}, rows)
 	return nil
--- a/tally/resume.go
+++ b/tally/resume.go
@@ -6,7 +6,7 @@
 )
 
 const resumeUsage = `tally resume [flags] [NAME ...]
-  Puts drained members into service again.
+  Puts drained members into service again. With -zone, the queues also start tasks in the zone again.
 
 Flags:
 ` + memberFlags + requestFlags + connectionFlags + `
--- a/tally/status.go
+++ b/tally/status.go
@@ -66,6 +66,10 @@
 	writeTable(w, []string{"CONTROLLER", "ADDRESS", "ZONE", "ROLE", "TERM", "COMMIT", "APPLIED", "SYNCED", "HEARD"}, controllerRows(state))
 	fmt.Fprintln(w)
 	writeTable(w, []string{"ZONE", "UP", "DRAINING", "DOWN", "SLOTS", "RUNNING", "QUEUED"}, zoneRows(state))
+	if len(state.QueueZones) > 0 {
+		fmt.Fprintln(w)
+		writeTable(w, []string{"ZONE OF QUEUES", "WORKERS", "STARTS"}, queueZoneRows(state))
+	}
 	fmt.Fprintln(w)
 	writeTable(w, []string{"MEMBER", "ROLE", "ZONE", "RACK", "SERVICE", "STATE", "SLOTS", "RUNNING", "QUEUED", "ADDRESS"}, memberRows(state))
 	if len(state.Configuration.Teams) > 0 {
@@ -108,6 +112,19 @@
 	return rows
 }
 
+// queueZoneRows says of each availability zone whether the queues start tasks there.
+func queueZoneRows(state operator.State) [][]string {
+	var rows [][]string
+	for _, zone := range state.QueueZones {
+		starts := "yes"
+		if zone.Evacuated {
+			starts = "no, evacuated"
+		}
+		rows = append(rows, []string{zone.Name, strconv.Itoa(zone.Workers), starts})
+	}
+	return rows
+}
+
 func memberRows(state operator.State) [][]string {
 	var rows [][]string
 	for _, m := range state.Members {
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -204,6 +204,28 @@
 	f.assertTally(exitFailed, arguments("drain", "nosuch"), "no member is named")
 }
 
+// Guards against a drained zone in which the queues start tasks on, and against an operator who does not see that a zone is evacuated.
+func TestEvacuatedZone(t *testing.T) {
+	mustBe := func(t *testing.T, f *fake, evacuated bool, shown string) {
+		t.Helper()
+		zone, known := f.state.QueueZone("heredia")
+		must.True(t, known)
+		must.Eq(t, evacuated, zone.Evacuated)
+		f.assertTally(exitDone, arguments("status"), shown)
+	}
+	f := newFake(t)
+	f.assertTally(exitDone, arguments("drain", "-zone", "heredia"), "zone heredia  Applied", "worker-1")
+	mustBe(t, f, true, "no, evacuated")
+	f.assertTally(exitDone, arguments("resume", "-zone", "heredia"), "the queues start tasks there")
+	mustBe(t, f, false, "yes")
+	t.Run("a zone without members", func(t *testing.T) {
+		f := newFake(t)
+		f.state.QueueZones = []operator.QueueZone{{Name: "limon", Workers: 1}}
+		f.assertTally(exitDone, arguments("drain", "-zone", "limon"), "zone limon  Applied")
+		f.assertTally(exitFailed, arguments("drain", "-zone", "nosuch"), "no worker of the queues is in zone")
+	})
+}
+
 // Guards against a stop that reports success while tasks run, or that never returns.
 func TestStop(t *testing.T) {
 	setLoad := func(f *fake, running int) {
