Start nothing of a kept job before it is recorded

A caller that sent a kept job again before its acceptance was committed made the leader start its tasks at once. When the leader was lost before the commit, the next one did not know the job, took it anew and started tasks whose ends it had acknowledged. Such a job is now blocked until it is recorded. controller/dispatcher TestResubmissionBeforeTheRecord failed before.

--- a/controller/dispatcher/job.go
+++ b/controller/dispatcher/job.go
@@ -67,9 +67,10 @@
 	return ending
 }
 
-// blocked reports whether no task of the job may start now: its caller has left, or it is not certain that none is running.
+// blocked reports whether no task of the job may start now: its caller has left, it is not recorded yet although it is to be kept, or it
+// is not certain that none is running.
 func (j *job) blocked() bool {
-	return j.held || j.unannounced || j.Transient && len(j.waiters) == 0
+	return j.held || j.unannounced || j.Transient && len(j.waiters) == 0 || !j.Transient && !j.recorded
 }
 
 func later(a, b time.Time) time.Time {
