--- a/controller/server/relays.go
+++ b/controller/server/relays.go
@@ -58,8 +58,8 @@
 		send, list, next := r.list.expire(r.clock()), r.list.texts(), r.list.next()
 		r.mutex.Unlock()
 		if send {
-			r.log.Info().Str(supervisor.FieldEvent, "RelaysListed").Int("Count", len(list)).Send()
 			r.publish(list)
+			r.log.Info().Str(supervisor.FieldEvent, "RelaysListed").Int("Count", len(list)).Send()
 		}
 		if timer.Stop(); !next.IsZero() {
 			timer.Reset(max(next.Sub(r.clock()), 0))
--- a/core/locator/relayed_test.go
+++ b/core/locator/relayed_test.go
@@ -7,34 +7,36 @@
 	"github.com/shoenig/test/must"
 )
 
-// mustFindThrough checks that the client next finds the leader through a relay, or directly for the zero address.
-func (s *relayedSite) mustFindThrough(relay netip.AddrPort) {
-	s.t.Helper()
-	must.Eq(s.t, route{controller: s.controller, relay: relay}, s.next())
-}
-
 func TestRelays(t *testing.T) {
 	t.Run("a client that is cut off uses a relay, and returns to the direct path", func(t *testing.T) {
 		// Guards against agents that are lost although an entry's host reaches the leader, and against a relay that keeps them.
 		site := newRelayedSite(t)
 		relay, _ := site.addRelay(site.isLeader)
-		site.run()
+		client := site.start()
 		must.Eq(t, 0, site.opened.Load()) // nothing passes through relays without a partition
 		site.isCut.Store(true)
-		site.mustFindThrough(relay)
+		client.mustFindThrough(relay)
 		site.isCut.Store(false)
-		site.mustFindThrough(netip.AddrPort{})
+		client.mustFindThrough(netip.AddrPort{})
 		must.Eq(t, 1, site.opened.Load())
 	})
-	t.Run("relays that are dead, frozen, or cut off from the leader are passed over", func(t *testing.T) {
+	t.Run("a partition in one direction", func(t *testing.T) {
+		site := newRelayedSite(t)
+		relay, _ := site.addRelay(site.isLeader)
+		client := site.start()
+		site.isDeaf.Store(true)
+		client.mustFindThrough(relay)
+	})
+	t.Run("relays that are dead, frozen, full or cut off from the leader are passed over", func(t *testing.T) {
 		site := newRelayedSite(t)
 		site.addDeadRelay()
 		site.addFrozenRelay()
+		site.addFullRelay()
 		site.addRelay(noTarget)
 		relay, _ := site.addRelay(site.isLeader)
-		site.run()
+		client := site.start()
 		site.isCut.Store(true)
-		site.mustFindThrough(relay)
+		client.mustFindThrough(relay)
 	})
 	t.Run("a client whose relay dies moves to another one", func(t *testing.T) {
 		site := newRelayedSite(t)
@@ -43,26 +45,44 @@
 			relay, cancel := site.addRelay(site.isLeader)
 			kill[relay] = cancel
 		}
-		site.run()
+		client := site.start()
 		site.isCut.Store(true)
-		used := site.next().relay
+		used := client.next().relay
 		must.MapContainsKey(t, kill, used)
 		kill[used]()
 		delete(kill, used)
 		for other := range kill {
-			site.mustFindThrough(other)
+			client.mustFindThrough(other)
 		}
 	})
 	t.Run("a client moves back and forth as often as its path is cut", func(t *testing.T) {
 		// Guards against a stream of the former path that ends the one of the new path.
 		site := newRelayedSite(t)
 		relay, _ := site.addRelay(site.isLeader)
-		site.run()
+		client := site.start()
 		for range 2 {
 			site.isCut.Store(true)
-			site.mustFindThrough(relay)
+			client.mustFindThrough(relay)
 			site.isCut.Store(false)
-			site.mustFindThrough(netip.AddrPort{})
+			client.mustFindThrough(netip.AddrPort{})
+		}
+	})
+	t.Run("many clients at once are spread over the relays", func(t *testing.T) {
+		// Guards against relays that are full while others are free: more clients come than one relay takes.
+		site := newRelayedSite(t)
+		for range 3 {
+			site.addRelay(site.isLeader)
+		}
+		var clients []*relayedClient
+		for range 72 {
+			clients = append(clients, site.start())
+		}
+		site.isCut.Store(true)
+		used := make(map[netip.AddrPort]int)
+		for _, client := range clients {
+			used[client.next().relay]++
 		}
+		must.MapNotContainsKey(t, used, netip.AddrPort{})
+		must.MapLen(t, 3, used)
 	})
 }
--- a/core/locator/relayedsite_test.go
+++ b/core/locator/relayedsite_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -12,7 +16,7 @@
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
 	"oleandertally/core/encoder"
 	"oleandertally/core/looper"
@@ -23,7 +27,7 @@
 // siteTimeout ends a test whose client finds no leader.
 const siteTimeout = 30 * time.Second
 
-// relayedSite is a controller that leads, relays, and a client whose direct path to the controller the test cuts.
+// relayedSite is a controller that leads, relays, and clients whose direct path to the controller the test cuts. The controller uses TLS.
 type relayedSite struct {
 	encoder.UnimplementedQueueKeeperServer
 
@@ -32,12 +36,20 @@
 	group      errgroup.Group
 	controller netip.AddrPort
 	relays     []string
-	isCut      atomic.Bool
-	found      chan route // each route on which the client found the leader
+	server     *grpc.Server
+	trusted    credentials.TransportCredentials // of clients, which check the controller's certificate
+	isCut      atomic.Bool                      // the clients' direct connections pass nothing on, and no new one opens
+	isDeaf     atomic.Bool                      // the same for the data to the clients only
 	opened     atomic.Int64
 }
 
-// cutConn is a direct connection of the client. While the path is cut it passes nothing on and reports no error.
+// relayedClient is a client of a relayedSite.
+type relayedClient struct {
+	site  *relayedSite
+	found chan route // each route on which it found the leader
+}
+
+// cutConn is a direct connection of a client. While the path is cut it passes nothing on and reports no error.
 type cutConn struct {
 	net.Conn
 	site *relayedSite
@@ -53,7 +65,7 @@
 func (c *cutConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.site.isCut.Load() {
+		if err != nil || !c.site.isCut.Load() && !c.site.isDeaf.Load() {
 			return n, err
 		}
 	}
@@ -102,15 +114,19 @@
 func newRelayedSite(t *testing.T) *relayedSite {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), siteTimeout)
-	s := &relayedSite{t: t, ctx: ctx, found: make(chan route, 100)}
+	certified := httptest.NewTLSServer(nil) // has a certificate for loopback
+	certified.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(certified.Certificate())
+	s := &relayedSite{t: t, ctx: ctx, trusted: credentials.NewTLS(&tls.Config{RootCAs: pool}),
+		server: grpc.NewServer(grpc.Creds(credentials.NewTLS(&tls.Config{Certificates: certified.TLS.Certificates})))}
 	listener := listen(t)
 	s.controller = netip.MustParseAddrPort(listener.Addr().String())
-	server := grpc.NewServer()
-	encoder.RegisterQueueKeeperServer(server, s)
-	s.group.Go(func() error { return server.Serve(listener) })
+	encoder.RegisterQueueKeeperServer(s.server, s)
+	s.group.Go(func() error { return s.server.Serve(listener) })
 	t.Cleanup(func() {
 		cancel()
-		server.Stop()
+		s.server.Stop()
 		_ = s.group.Wait() // ends with the context's error
 	})
 	return s
@@ -141,18 +157,26 @@
 	s.relays = append(s.relays, listener.Addr().String())
 }
 
-// run starts the client, and returns once it has found the leader directly.
-func (s *relayedSite) run() *relayedSite {
+// addFullRelay lists a relay that refuses every connection.
+func (s *relayedSite) addFullRelay() {
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	s.t.Cleanup(full.Close)
+	s.relays = append(s.relays, full.Listener.Addr().String())
+}
+
+// start starts a client, and returns once it has found the leader directly.
+func (s *relayedSite) start() *relayedClient {
 	s.t.Helper()
+	c := &relayedClient{site: s, found: make(chan route, 100)}
 	var l *Locator[*encoder.QueueOrder, *encoder.QueueReport]
 	l = &Locator[*encoder.QueueOrder, *encoder.QueueReport]{
-		Seeds: []netip.AddrPort{s.controller}, Credentials: insecure.NewCredentials(), IdleTimeout: 500 * time.Millisecond,
+		Seeds: []netip.AddrPort{s.controller}, Credentials: s.trusted, IdleTimeout: 500 * time.Millisecond,
 		Open: func(ctx context.Context, conn *grpc.ClientConn) (Stream[*encoder.QueueOrder, *encoder.QueueReport], error) {
 			return encoder.NewQueueKeeperClient(conn).Attend(ctx)
 		},
 		Welcome: (*encoder.QueueOrder).GetWelcome,
 		Connected: func(_ context.Context, addr netip.AddrPort, _ *looper.Outbox[*encoder.QueueReport]) error {
-			s.found <- route{controller: addr, relay: l.Relay()}
+			c.found <- route{controller: addr, relay: l.Relay()}
 			return nil
 		},
 		Received:     func(context.Context, *encoder.QueueOrder) error { return nil },
@@ -160,22 +184,28 @@
 		dial:         s.dial,
 	}
 	s.group.Go(func() error { return l.Run(s.ctx) })
-	s.mustFindThrough(netip.AddrPort{})
-	return s
+	c.mustFindThrough(netip.AddrPort{})
+	return c
 }
 
 // next returns the route on which the client finds the leader next.
-func (s *relayedSite) next() route {
-	s.t.Helper()
+func (c *relayedClient) next() route {
+	c.site.t.Helper()
 	select {
-	case r := <-s.found:
+	case r := <-c.found:
 		return r
-	case <-s.ctx.Done():
-		s.t.Fatal("the client does not find the leader")
+	case <-c.site.ctx.Done():
+		c.site.t.Fatal("the client does not find the leader")
 		return route{}
 	}
 }
 
+// mustFindThrough checks that the client next finds the leader through a relay, or directly for the zero address.
+func (c *relayedClient) mustFindThrough(relay netip.AddrPort) {
+	c.site.t.Helper()
+	must.Eq(c.site.t, route{controller: c.site.controller, relay: relay}, c.next())
+}
+
 func (s *relayedSite) isLeader(addr netip.AddrPort) bool { return addr == s.controller }
 
 func noTarget(netip.AddrPort) bool { return false }
--- a/core/locator/relayplan.go
+++ b/core/locator/relayplan.go
@@ -16,7 +16,7 @@
 	answerSpan = 600 * time.Millisecond
 	// electionSpan is longer than most elections. Controllers that know no leader for longer may be cut off from it themselves.
 	electionSpan = 700 * time.Millisecond
-	// relayInterval is the time between two attempts through relays, and slowInterval the same after the first quickAttempts.
+	// relayInterval is the time between the first quickAttempts through relays, and slowInterval the time between others.
 	relayInterval = 250 * time.Millisecond
 	slowInterval  = time.Second
 	quickAttempts = 4
@@ -90,9 +90,9 @@
 	if due := p.due(); due.IsZero() || due.After(now) {
 		return route{}, false
 	}
-	interval := relayInterval
-	if p.attempts >= quickAttempts {
-		interval = slowInterval
+	interval := slowInterval
+	if p.isUrgent() {
+		interval = relayInterval
 	}
 	r := route{controller: p.target(), relay: p.relays[p.attempts%len(p.relays)]}
 	p.attempts++
@@ -114,11 +114,17 @@
 
 // failed records that an attempt through a relay failed. The first ones are followed by another soon.
 func (p *relayPlan) failed(now time.Time) {
-	if p.attempts < quickAttempts {
+	if p.isUrgent() {
 		p.retryAt = now.Add(failedDelay)
 	}
 }
 
+// isUrgent reports whether attempts follow each other quickly: the first ones, unless controllers can be reached and are merely late to
+// elect a leader.
+func (p *relayPlan) isUrgent() bool {
+	return p.attempts < quickAttempts && (p.answeredAt.IsZero() || p.named.IsValid())
+}
+
 // directAttemptDelay returns the wait before an attempt to return to the direct path, for a random fraction from 0 to 1.
 func directAttemptDelay(fraction float64) time.Duration {
 	return time.Duration(float64(directInterval) * (1 - directJitter + 2*directJitter*fraction))
--- a/core/locator/relayplan_test.go
+++ b/core/locator/relayplan_test.go
@@ -70,7 +70,9 @@
 		plan.answered(moment(10), controllerA) // the lost leader
 		must.Eq(t, moment(400), plan.due())
 		plan.answered(moment(300), netip.AddrPort{})
-		must.Eq(t, moment(700), plan.due())
+		mustTryAt(t, plan, 700)
+		plan.failed(moment(710))
+		mustTryAt(t, plan, 1700) // an election that takes long is not urgent
 	})
 	t.Run("a new leader that can be reached has time to answer", func(t *testing.T) {
 		plan := newPlan()
