--- a/core/encoder/queue_test.go
+++ b/core/encoder/queue_test.go
@@ -17,7 +17,7 @@
 func TestQueueMessages(t *testing.T) {
 	t.Run("command", func(t *testing.T) {
 		for _, command := range []specifier.QueueCommand{
-			{Accept: &queuedJob, Advance: time.Second}, {Cancel: "a"}, {Enroll: "x"}, {Dismiss: "x"},
+			{Accept: &queuedJob, Advance: time.Second}, {Cancel: "a"}, {Enroll: "x"}, {Dismiss: "x"}, {Evacuate: "z"}, {Restore: "z"},
 			{Ends: []specifier.TaskEnd{{Job: "a", Step: 1, Index: 2, Run: 3, Kind: specifier.EndFailed}}},
 			{Manifest: &specifier.Manifest{Version: 3, NonEnforcingPools: []string{"p"}, Document: []byte("{}"), Queues: []specifier.Queue{
 				{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 1.5, Target: time.Second}}}},
