--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -74,38 +73,48 @@
 	w.Header().Set("Connection", "close")
 	if request.Method != http.MethodConnect {
 		w.Header().Set("Allow", http.MethodConnect)
-		r.refuse(w, http.StatusMethodNotAllowed, BadRequest, errors.Newf("got method %q, expected CONNECT", request.Method))
+		r.refuse(w, request, http.StatusMethodNotAllowed, BadRequest, errors.Newf("got method %q, expected CONNECT", request.Method))
 		return
 	}
 	target, err := netip.ParseAddrPort(request.RequestURI)
 	if err != nil {
-		r.refuse(w, http.StatusBadRequest, BadRequest, errors.Newf("got target %q, expected IP:port", request.RequestURI))
+		r.refuse(w, request, http.StatusBadRequest, BadRequest, errors.Newf("got target %q, expected IP:port", request.RequestURI))
 		return
 	}
 	if !r.Allowed(target) {
-		r.refuse(w, http.StatusForbidden, UnknownTarget, errors.Newf("got target %s, expected the address of a known controller", target))
+		r.refuse(w, request, http.StatusForbidden, UnknownTarget, errors.Newf("got target %s, expected the address of a known controller", target))
 		return
 	}
 	if !r.tunnels.take() {
-		r.refuse(w, http.StatusServiceUnavailable, Full, errors.Newf("%d connections are open, try another relay", maxTunnels))
+		r.refuse(w, request, http.StatusServiceUnavailable, Full, errors.Newf("%d connections are open, try another relay", maxTunnels))
 		return
 	}
 	defer r.tunnels.release()
 	conn, err := dialer.NewTCP(dialTimeout).DialContext(request.Context(), "tcp", target.String())
 	if err != nil {
-		r.refuse(w, http.StatusBadGateway, Unreachable, err)
+		r.refuse(w, request, http.StatusBadGateway, Unreachable, err)
 		return
 	}
 	defer conn.Close()
 	if err := r.relay(w, request, target, conn.(*net.TCPConn)); err != nil {
-		r.faults.Report(supervisor.Fields{Event: "RelayFailed", Peer: request.RemoteAddr}, err)
+		r.faults.Report(supervisor.Fields{Event: "RelayFailed", Peer: host(request)}, err)
 	}
 }
 
-func (r *Relayer) refuse(w http.ResponseWriter, status int, reason Reason, err error) {
+func (r *Relayer) refuse(w http.ResponseWriter, request *http.Request, status int, reason Reason, err error) {
 	r.Meter.Refused(reason)
-	r.faults.Report(supervisor.Fields{Event: "RelayRefused", Peer: string(reason)}, err)
-	http.Error(w, fmt.Sprintf("%s: %v", reason, err), status)
+	err = errors.Wrap(err, string(reason))
+	r.faults.Report(supervisor.Fields{Event: "RelayRefused", Peer: host(request)}, err)
+	http.Error(w, err.Error(), status)
+}
+
+// host returns the client's address without its port, which differs with each connection and would defeat the limit of log lines.
+func host(request *http.Request) string {
+	addr, _, err := net.SplitHostPort(request.RemoteAddr)
+	if err != nil {
+		return request.RemoteAddr
+	}
+	return addr
 }
 
 // relay takes the client's connection over from the HTTP server and runs a tunnel. It returns an error if there was no tunnel.
