Elect a leader right after a restart when the last one has returned

After a loss of power of all hosts no server voted for an election timeout, because it might have acknowledged a leader just before; a refused pre-vote cost another one to two timeouts, and controllers that started before their peers waited for connections.

Servers store the last leader that they followed, and only that leader, or the process that has replaced it after the loss of its disk, can release them before the time-out. Pre-votes are requested at the start and every one to two heartbeats. Connections are tried again every 100 ms, and at once when the peer is heard. A leader that refused a connection is asked again after 50 ms instead of 400 ms.

--- a/controller/server/contacts.go
+++ b/controller/server/contacts.go
@@ -17,10 +17,12 @@
 // maxContacts is the maximum number of addresses. A full list is emptied before the next address.
 const maxContacts = 64
 
-func (c *contacts) learn(id replicator.ServerID, text string) {
+// learn stores the address that a controller sent with a message, and returns it. It reports whether there is one: older versions send
+// none.
+func (c *contacts) learn(id replicator.ServerID, text string) (netip.AddrPort, bool) {
 	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return // older versions send no address
+		return netip.AddrPort{}, false
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -28,6 +30,7 @@
 		c.addrs = make(map[replicator.ServerID]netip.AddrPort)
 	}
 	c.addrs[id] = addr
+	return addr, true
 }
 
 func (c *contacts) find(id replicator.ServerID) (netip.AddrPort, bool) {
--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -185,7 +185,7 @@
 	encoder.RegisterOperatorServer(server, &operator.Server{Propose: c.operators.propose, State: c.operators.read, Identify: c.Security.CheckOperator})
 	encoder.RegisterTimelineServer(server, &operator.Timeline{Buffer: c.Events})
 	contacts := &contacts{}
-	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security, contacts: contacts})
+	transporter.RegisterReplicaServer(server, &replica{mailbox: c.mailbox, disk: c.disk, joins: c.joins, security: c.Security, contacts: contacts, pool: pool})
 
 	group, ctx := supervisor.WithContext(ctx)
 	c.peers = &peers{group: group, ctx: ctx, pool: pool, disk: c.disk, mailbox: c.mailbox, settings: c.Peers, self: c.Addr, contacts: contacts}
--- a/controller/server/disk.go
+++ b/controller/server/disk.go
@@ -57,7 +57,9 @@
 	r := recovery{disk: content.DiskID}
 	if content.State.Term > 0 {
 		r.log.State = replicator.HardState{Term: replicator.Term(content.State.Term),
-			Vote: replicator.ServerID{Name: content.State.Vote, Disk: content.State.VoteDisk}}
+			Vote:       replicator.ServerID{Name: content.State.Vote, Disk: content.State.VoteDisk},
+			Leader:     replicator.ServerID{Name: content.State.Leader, Disk: content.State.LeaderDisk},
+			LeaderTerm: replicator.Term(content.State.LeaderTerm)}
 	}
 	if err := d.readSnapshot(&r); err != nil {
 		return recovery{}, err
@@ -131,7 +133,8 @@
 		case replicator.Truncate:
 			operations, last = append(operations, journaler.Truncate{From: uint64(action.From)}), action.Write
 		case replicator.Persist:
-			state := journaler.HardState{Term: uint64(action.State.Term), Vote: action.State.Vote.Name, VoteDisk: action.State.Vote.Disk}
+			state := journaler.HardState{Term: uint64(action.State.Term), Vote: action.State.Vote.Name, VoteDisk: action.State.Vote.Disk,
+				Leader: action.State.Leader.Name, LeaderDisk: action.State.Leader.Disk, LeaderTerm: uint64(action.State.LeaderTerm)}
 			operations, last = append(operations, journaler.Persist{State: state}), action.Write
 		case replicator.Compact:
 			operations = append(operations, journaler.Compact{Through: uint64(action.Through)})
--- a/controller/server/peersender.go
+++ b/controller/server/peersender.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
 
 	"oleandertally/core/dialer"
 	"oleandertally/core/looper"
@@ -17,6 +18,8 @@
 const (
 	// peerRedialDelay is the wait before a broken stream to a peer is opened again.
 	peerRedialDelay = 100 * time.Millisecond
+	// peerOpenTimeout bounds the wait for a connection. Then the envelopes that wait are too old to be of use.
+	peerOpenTimeout = 300 * time.Millisecond
 	// maxPeerBacklog is the maximum number of envelopes that wait for a slow peer. Older ones are dropped; the log
 	// resends them.
 	maxPeerBacklog = 4096
@@ -51,7 +54,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := transporter.NewReplicaClient(conn).Exchange(ctx)
+	timer := time.AfterFunc(peerOpenTimeout, cancel)
+	stream, err := transporter.NewReplicaClient(conn).Exchange(ctx, grpc.WaitForReady(true)) // a peer that starts now connects soon
+	if !timer.Stop() && err == nil {
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		return errors.Wrapf(err, "controller: open the stream to %s", p.addr)
 	}
--- a/controller/server/replica.go
+++ b/controller/server/replica.go
@@ -9,6 +9,7 @@
 
 	"oleandertally/controller/driver"
 	"oleandertally/core/authenticator"
+	"oleandertally/core/dialer"
 	"oleandertally/core/looper"
 	"oleandertally/core/specifier"
 	"oleandertally/state/replicator"
@@ -25,11 +26,12 @@
 	joins    *pendingCalls[driver.JoinAnswered]
 	security *authenticator.Authenticator
 	contacts *contacts
+	pool     *dialer.Pool
 }
 
 // Exchange receives the envelopes of one controller.
 func (r *replica) Exchange(stream transporter.Replica_ExchangeServer) error {
-	for {
+	for first := true; ; first = false {
 		message, err := stream.Recv()
 		if err == io.EOF {
 			return stream.SendAndClose(&transporter.Stored{})
@@ -44,7 +46,9 @@
 		if err := checkPeer(stream.Context(), r.security, specifier.Controller, envelope.From.Name); err != nil {
 			return err
 		}
-		r.contacts.learn(envelope.From, message.Addr)
+		if addr, known := r.contacts.learn(envelope.From, message.Addr); known && first {
+			r.pool.Reconnect(addr) // an earlier attempt may have failed because the other process did not run yet
+		}
 		if _, ok := envelope.Message.(replicator.InstallSnapshot); ok {
 			return status.Error(codes.InvalidArgument, "Envelope.Message: a snapshot comes by Install")
 		}
--- a/core/dialer/pool.go
+++ b/core/dialer/pool.go
@@ -1,6 +1,8 @@
 package dialer
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -33,7 +35,8 @@
 	if conn := p.conns[addr]; conn != nil {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
+	options := append(p.options(), grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return (&Redialer{}).Dial(ctx, addr) }))
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(), options...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialer: connect to %s", addr)
 	}
@@ -67,6 +70,16 @@
 	return options
 }
 
+// Reconnect begins an attempt to connect to addr at once, if a connection to it has failed and waits for the next attempt. It is called
+// when the process at addr is known to run.
+func (p *Pool) Reconnect(addr netip.AddrPort) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if conn := p.conns[addr]; conn != nil {
+		conn.ResetConnectBackoff()
+	}
+}
+
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.mutex.Lock()
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"oleandertally/core/dialer"
 	"oleandertally/core/encoder"
 	"oleandertally/core/looper"
 	"oleandertally/core/supervisor"
@@ -179,17 +180,17 @@
 	}
 }
 
-// dialer opens connections to one controller. They fail soon after the other side stops acknowledging sent bytes. The dialer
+// dialerTo returns a function that opens connections to one controller. They fail soon after the other side stops acknowledging sent bytes. The function
 // ignores the address that gRPC passes, which is the same one.
-func dialer(addr netip.AddrPort) func(context.Context, string) (net.Conn, error) {
+func dialerTo(addr netip.AddrPort) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, _ string) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		redialer := dialer.Redialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
 			err := raw.Control(func(fd uintptr) {
 				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 			})
 			return errors.CombineErrors(err, failed)
 		}}
-		return dialer.DialContext(ctx, "tcp", addr.String())
+		return redialer.Dial(ctx, addr)
 	}
 }
--- a/core/locator/probe.go
+++ b/core/locator/probe.go
@@ -34,7 +34,7 @@
 func (p *probe[In, Out]) open(l *Locator[In, Out]) error {
 	var err error
 	p.conn, err = grpc.NewClient("passthrough:///"+p.addr.String(), grpc.WithTransportCredentials(l.Credentials),
-		grpc.WithContextDialer(dialer(p.addr)), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
+		grpc.WithContextDialer(dialerTo(p.addr)), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(encoder.MaxMessage), grpc.MaxCallSendMsgSize(encoder.MaxMessage)))
 	if err != nil {
 		return errors.Wrapf(err, "locator: connect to %s", p.addr)
 	}
--- a/core/locator/search.go
+++ b/core/locator/search.go
@@ -23,8 +23,9 @@
 	maxRetryDelay = 60 * time.Millisecond
 	// leaderTimeout is how long to wait for a follower to name a leader.
 	leaderTimeout = 400 * time.Millisecond
-	// namedAgainAfter is how long a named leader that failed is not asked again.
-	namedAgainAfter = 400 * time.Millisecond
+	// namedAgainAfter is how long a named leader that failed is not asked again. A controller that was asked before it listened may lead
+	// soon after.
+	namedAgainAfter = 50 * time.Millisecond
 )
 
 // search asks several controllers at the same time for the leader.
--- a/state/replicator/election.go
+++ b/state/replicator/election.go
@@ -2,11 +2,20 @@
 
 import "time"
 
-// resetElection schedules the next election between one and two election timeouts from now. The random part makes it
-// unlikely that two servers campaign at the same time.
+// electionSpread is the divisor that gives the random part of the wait for an election as a part of the election timeout.
+const electionSpread = 2
+
+// resetElection schedules the next election an election timeout and a random part from now. The random part makes it unlikely that two
+// servers campaign at the same time.
 func (n *Node) resetElection() {
 	timeout := n.Settings.ElectionTimeout
-	n.electionDeadline = n.now.Add(timeout + time.Duration(n.Random.Int64N(int64(timeout))))
+	n.electionDeadline = n.now.Add(timeout + time.Duration(n.Random.Int64N(int64(timeout)/electionSpread)))
+}
+
+// retryPreVote schedules the next pre-vote one to two heartbeats from now. A pre-vote changes no term, so it can be repeated until the
+// others may vote.
+func (n *Node) retryPreVote() {
+	n.electionDeadline = n.now.Add(n.Settings.Heartbeat + time.Duration(n.Random.Int64N(int64(n.Settings.Heartbeat))))
 }
 
 // mayCampaign reports whether this server is a voter. A voter whose removal is not committed still campaigns: if its log is
@@ -16,7 +25,7 @@
 // startPreVote asks whether the voters would elect this server before it starts an election, so that a server that was
 // partitioned does not raise the term of the others.
 func (n *Node) startPreVote() {
-	n.resetElection()
+	n.retryPreVote()
 	if !n.mayCampaign() {
 		return
 	}
@@ -30,7 +39,7 @@
 // once the term and the vote are durable.
 func (n *Node) startElection(transfer bool) {
 	n.resetElection()
-	n.enterTerm(HardState{Term: n.state.Term + 1, Vote: n.Self})
+	n.enterTerm(n.state.Term+1, n.Self)
 	n.role = Candidate
 	n.votes = make(map[ServerID]bool)
 	n.requestVotes(n.state.Term, RequestVote{Transfer: transfer}, n.sendWhenDurable)
@@ -50,10 +59,13 @@
 	}
 }
 
-// enterTerm enters a new term as a follower that knows no leader.
-func (n *Node) enterTerm(state HardState) {
+// enterTerm enters a new term as a follower that knows no leader, and votes for the given server unless it is zero.
+func (n *Node) enterTerm(term Term, vote ServerID) {
 	n.stepDown(ServerID{})
-	n.state = state
+	n.state.Term, n.state.Vote = term, vote
+	if !vote.IsZero() {
+		n.state = n.state.follow(vote)
+	}
 	n.verified, n.acknowledged, n.round = 0, 0, 0
 	n.persist()
 }
@@ -70,18 +82,70 @@
 	n.role, n.leader, n.votes = Follower, leader, nil
 }
 
-// boundToLeader reports whether a leader's lease may rely on this server not voting for another candidate.
+// boundToLeader reports whether a leader's lease may rely on this server not voting for another candidate. Only the lease of the last
+// leader that it followed may: a later leader is not elected before the leases of the earlier ones have ended.
 func (n *Node) boundToLeader() bool {
-	return n.role == Leader || n.now.Before(n.leaderContact.Add(n.Settings.ElectionTimeout))
+	return n.role == Leader || !n.leaderGone && n.now.Before(n.leaderContact.Add(n.Settings.ElectionTimeout))
+}
+
+// follow stores the leader that this server accepts, before it acknowledges anything to it.
+func (n *Node) follow(leader ServerID) {
+	n.leaderGone = false
+	if n.state.Leader != leader || n.state.LeaderTerm != n.state.Term {
+		n.state = n.state.follow(leader)
+		n.persist()
+	}
+}
+
+// noteCandidate concludes from a request for votes that its sender does not lead. A server that leads a term has done so since it entered
+// the term, and it campaigns in a later one only after it has stepped down or has been restarted.
+func (n *Node) noteCandidate(from ServerID, term Term) {
+	if from == n.state.Leader && term > n.state.LeaderTerm {
+		n.leaderGone = true
+	}
+}
+
+// noteReplaced concludes that the last leader does not lead any more, from a message of the server that has replaced it.
+func (n *Node) noteReplaced(by ServerID) {
+	if by.Name == n.state.Leader.Name && by.Disk != n.state.Leader.Disk {
+		n.leaderGone = true
+	}
+}
+
+// answerForReplaced answers a request for votes to a server of this name whose disk is lost.
+func (n *Node) answerForReplaced(envelope Envelope) {
+	if _, ok := envelope.Message.(RequestVote); ok && envelope.To.Name == n.Self.Name && envelope.valid() {
+		n.emit(Send{Envelope{From: n.Self, To: envelope.From, Message: VoteReply{PreVote: true, Replaced: true}}})
+	}
+}
+
+// yield makes a server that asks for pre-votes give way to a preferred one that does so too, so that they do not split the votes. It does so
+// once in an election timeout, because the other one may be unable to win.
+func (n *Node) yield(from ServerID, request RequestVote) {
+	preferred := request.LastTerm > n.log.lastTerm() || request.LastIndex > n.log.last() || from.Compare(n.Self) < 0
+	if n.role == Leader || n.role == Candidate || !preferred || n.now.Before(n.yieldedAt.Add(n.Settings.ElectionTimeout)) {
+		return
+	}
+	n.yieldedAt = n.now
+	if n.role == PreCandidate {
+		n.role, n.votes = Follower, nil
+	}
+	if after := n.now.Add(2 * n.Settings.Heartbeat); n.electionDeadline.Before(after) {
+		n.retryPreVote()
+		n.electionDeadline = n.electionDeadline.Add(n.Settings.Heartbeat)
+	}
 }
 
 func (n *Node) receiveRequestVote(from ServerID, term Term, request RequestVote) {
+	n.noteCandidate(from, term)
 	if n.boundToLeader() && !request.Transfer {
 		return
 	}
 	if request.PreVote {
 		granted := term > n.state.Term && n.upToDate(request)
-		if !granted {
+		if granted {
+			n.yield(from, request)
+		} else {
 			term = n.state.Term
 		}
 		n.sendWhenDurable(from, term, VoteReply{PreVote: true, Granted: granted})
@@ -98,9 +162,10 @@
 	}
 	switch {
 	case term > n.state.Term:
-		n.enterTerm(HardState{Term: term, Vote: vote})
+		n.enterTerm(term, vote)
 	case term == n.state.Term && vote != n.state.Vote:
 		n.state.Vote = vote
+		n.state = n.state.follow(vote)
 		n.persist()
 	}
 	n.sendWhenDurable(from, n.state.Term, VoteReply{Granted: granted})
@@ -132,7 +197,9 @@
 	switch {
 	case granted <= len(voters)/2:
 	case n.role == PreCandidate:
-		n.startElection(false)
+		if !n.boundToLeader() { // its own vote counts among the granted ones
+			n.startElection(false)
+		}
 	case n.role == Candidate:
 		n.becomeLeader()
 	}
--- a/state/replicator/guarantee_test.go
+++ b/state/replicator/guarantee_test.go
@@ -7,12 +7,15 @@
 	"github.com/shoenig/test/must"
 )
 
-// assertVote sends h the vote request of an up-to-date candidate and fails the test unless h's decision is granted.
+// assertVote sends h the vote request of an up-to-date candidate that h has not followed, and fails the test unless h's decision is granted.
 func assertVote(t *testing.T, c *cluster, h *host, request RequestVote, granted bool) {
 	t.Helper()
 	request.LastIndex, request.LastTerm = 1000, 1000
 	term := h.node.Term() + 1
 	from := others(c, h)[0].id
+	if from == h.node.state.Leader {
+		from = others(c, h)[1].id
+	}
 	c.step(h, Received{Envelope: Envelope{From: from, To: h.id, Term: term, Message: request}})
 	must.Eq(t, granted, h.node.Term() == term && h.node.state.Vote == from)
 }
--- a/state/replicator/node.go
+++ b/state/replicator/node.go
@@ -24,7 +24,9 @@
 	commit           Index
 	applied          Index
 	leaderContact    time.Time // arrival of a leader's last message; no vote is granted for an election timeout after it
+	leaderGone       bool      // the leader in state.Leader has shown that it does not lead state.LeaderTerm any more
 	electionDeadline time.Time
+	yieldedAt        time.Time // when this server last yielded to another one's pre-vote
 	votes            map[ServerID]bool
 	lead             *leadership // nil unless leading
 
--- a/state/replicator/receive.go
+++ b/state/replicator/receive.go
@@ -3,7 +3,11 @@
 // receive handles a message. A newer term makes this server a follower. Exceptions are a RequestVote, which
 // receiveRequestVote may ignore, and the granted reply to a pre-vote, because no server has entered its term.
 func (n *Node) receive(envelope Envelope) {
-	if envelope.To != n.Self || !envelope.valid() {
+	if envelope.To != n.Self {
+		n.answerForReplaced(envelope)
+		return
+	}
+	if !envelope.valid() {
 		return
 	}
 	from, term := envelope.From, envelope.Term
@@ -11,6 +15,10 @@
 	case RequestVote:
 		n.receiveRequestVote(from, term, message)
 	case VoteReply:
+		if message.Replaced {
+			n.noteReplaced(from)
+			return
+		}
 		if !message.PreVote || !message.Granted {
 			n.adoptTerm(term)
 		}
@@ -38,7 +46,7 @@
 
 func (n *Node) adoptTerm(term Term) {
 	if term > n.state.Term {
-		n.enterTerm(HardState{Term: term})
+		n.enterTerm(term, ServerID{})
 	}
 }
 
@@ -56,6 +64,7 @@
 	if n.role != Follower || n.leader != from {
 		n.stepDown(from)
 	}
+	n.follow(from)
 	n.leaderContact = n.now
 	n.resetElection()
 	return true
--- a/state/replicator/start.go
+++ b/state/replicator/start.go
@@ -1,14 +1,18 @@
 package replicator
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // start loads the recovered state. The start is treated as contact with a leader: before the restart, this server may have
-// acknowledged a leader whose lease relies on no vote for another candidate within an election timeout.
+// acknowledged a leader whose lease relies on no vote for another candidate within an election timeout. The first pre-vote is requested
+// at once: it tells the others that this server does not lead.
 func (n *Node) start() {
 	n.started = true
 	n.state = n.Recovered.State
 	n.leaderContact = n.now
-	n.resetElection()
+	n.electionDeadline = n.now.Add(time.Duration(n.Random.Int64N(int64(n.Settings.Heartbeat))))
 	n.snapshot = n.Recovered.Snapshot
 	n.commit, n.applied = n.snapshot.Index, n.snapshot.Index
 	n.log.reset(n.snapshot.Index, n.snapshot.Term)
@@ -23,6 +27,12 @@
 		n.state = HardState{Term: lastTerm}
 		n.persist()
 	}
+	// A version that does not store Leader may have accepted a later one.
+	known := n.state.LeaderTerm > 0 && n.state.LeaderTerm >= n.log.lastTerm()
+	n.leaderGone = n.state.Term == 0 || known && (n.state.Leader.IsZero() || n.state.Leader == n.Self)
+	if !known {
+		n.state.Leader, n.state.LeaderTerm = ServerID{}, 0
+	}
 }
 
 // recoverEntries loads the entries after the snapshot. If the stored log does not contain the snapshot's entry, a crash
@@ -51,7 +61,7 @@
 	if n.state.Term > 1 || n.log.last() > 0 || !newMembership(0, servers).isVoter(n.Self) {
 		return
 	}
-	n.state = HardState{Term: 1}
+	n.state = HardState{Term: 1, LeaderTerm: 1}
 	n.persist()
 	n.appendEntries([]Entry{{Index: 1, Term: 1, Kind: Membership, Servers: servers}})
 }
--- a/state/replicator/votereply.go
+++ b/state/replicator/votereply.go
@@ -4,6 +4,9 @@
 type VoteReply struct {
 	PreVote bool
 	Granted bool
+	// Replaced means that the sender runs under the name of the addressed server but with another disk. A name has one process at a
+	// time, so the addressed server leads no more.
+	Replaced bool
 }
 
 func (VoteReply) message() {}
