Let each waiting job's own time decide while there is no leader

A job that came while nobody led was refused 0.7 s after the loss of the leader, also when it had just arrived and work was about to go on; and a job that no longer had the time to run was held. A transient job now waits while it can still end before its caller leaves and its end is of use, counted from its arrival, and is refused at once when it can't. The same holds while a controller answers that it can't serve; such a job is reported as not run. The leader refuses a held job whose shortest run time does not fit any more.

--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -62,6 +62,9 @@
 
 // mayStillEnd reports whether a job that can't end within its objective can end while its answer is of use.
 func (d *Dispatcher) mayStillEnd(j *job) bool {
+	if d.now.Add(j.criticalPath).After(j.expiresAt) {
+		return false
+	}
 	p := d.pool(j.queue.Pool)
 	if j.held && d.now.After(d.leadingSince.Add(listTime)) {
 		return d.recoveryUntil.Sub(d.now)+j.criticalPath <= j.expiresAt.Sub(d.now)
--- a/entry/requester/machine.go
+++ b/entry/requester/machine.go
@@ -13,11 +13,8 @@
 const (
 	// retryDelay is the wait before a call that a controller could not handle is resent.
 	retryDelay = 40 * time.Millisecond
-	// leaderTimeout is how long a call waits for a leader. Most leader changes take less.
+	// leaderTimeout is how long a call that is no transient job waits for a leader. Most leader changes take less.
 	leaderTimeout = 700 * time.Millisecond
-	// When there has been no leader for longer than leaderTimeout, a new job waits for one for its ideal run time divided
-	// by idealDivisor.
-	idealDivisor = 4
 	// pingInterval keeps traffic on the stream, since an idle stream is treated as broken.
 	pingInterval = 100 * time.Millisecond
 )
@@ -46,7 +43,7 @@
 			m.disconnectedAt = now // no stream has been opened yet
 		}
 		m.lastSequence++
-		call := &pending{sequence: m.lastSequence, call: e.call, startedAt: now, deadline: e.deadline, replyTo: e.replyTo}
+		call := &pending{sequence: m.lastSequence, call: e.call, startedAt: now, deadline: e.deadline, waitUntil: waitUntil(e.call.Job, now, e.deadline), replyTo: e.replyTo}
 		m.calls[m.lastSequence], m.byReply[e.replyTo] = call, call
 		m.send(now, call)
 	case callAbandoned:
@@ -81,11 +78,7 @@
 		switch {
 		case !m.giveUpAt(call).After(now):
 			m.abandon(call)
-			err := ErrUnsent
-			if call.sent {
-				err = ErrUnanswered
-			}
-			m.finish(call, answer{err: err})
+			m.finish(call, answer{err: call.withoutReply()})
 		case !call.retryAt.IsZero() && !call.retryAt.After(now):
 			m.send(now, call)
 		}
@@ -106,21 +99,18 @@
 	return next
 }
 
-// giveUpAt returns when the requester gives up a call. After some time without a leader most calls could no longer end in
-// time, so they fail early rather than at their deadline.
+// giveUpAt returns when the requester gives up a call. A call that the leader has is kept until its deadline: the leader refuses what can't
+// be served. Without a leader, and while the controller at the other end can't answer, each call waits as long as its own time allows.
 func (m *machine) giveUpAt(call *pending) time.Time {
-	if m.disconnectedAt.IsZero() {
-		return call.deadline
-	}
-	ideal := call.call.Job.IdealRunTime()
-	giveUp := m.disconnectedAt.Add(leaderTimeout)
-	switch soon := call.startedAt.Add(ideal / idealDivisor); {
-	case call.call.Verb != specifier.SubmitQueued:
-		giveUp = later(giveUp, call.startedAt.Add(leaderTimeout))
-	case call.maybeHandled:
-		giveUp = giveUp.Add(ideal) // the job's tasks may be running
-	default:
-		giveUp = later(giveUp, soon)
+	giveUp := call.deadline
+	submits := call.call.Verb == specifier.SubmitQueued
+	switch {
+	case submits && !call.maybeHandled && !call.inFlight:
+		giveUp = call.waitUntil
+	case !m.disconnectedAt.IsZero() && submits:
+		giveUp = m.disconnectedAt.Add(leaderTimeout + call.call.Job.IdealRunTime()) // the job's tasks may be running
+	case !m.disconnectedAt.IsZero():
+		giveUp = later(m.disconnectedAt, call.startedAt).Add(leaderTimeout)
 	}
 	if giveUp.Before(call.deadline) {
 		return giveUp
--- a/state/replicator/recovery_test.go
+++ b/state/replicator/recovery_test.go
@@ -95,6 +95,20 @@
 			})
 		}
 	}
+	t.Run("a leader that got no vote is stored before it is answered", func(t *testing.T) {
+		// Guards against a release by the candidate that got the last vote, although another server has led since.
+		c, leader := startCluster(t, 3)
+		follower, next := others(c, leader)[0], others(c, leader)[1]
+		term := leader.node.Term() + 1
+		c.step(follower, Received{Envelope{From: next.id, To: follower.id, Term: term, Message: AppendEntries{PrevIndex: 1, PrevTerm: 1}}})
+		must.SliceEmpty(t, c.packets)
+		c.sync(follower, len(follower.disk.queue))
+		must.SliceLen(t, 1, c.packets)
+		c.crash(follower, 0)
+		c.startHost(follower)
+		c.step(follower, Received{Envelope{From: leader.id, To: follower.id, Term: term + 1, Message: RequestVote{PreVote: true}}})
+		must.True(t, follower.node.boundToLeader())
+	})
 	t.Run("until the next leader is heard", func(t *testing.T) {
 		c, leader := startCluster(t, 3)
 		c.step(leader, Transfer{})
