--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -68,6 +68,9 @@
 
 // isHopeless reports whether a job that waits is not likely to start in time, and can't end while its answer is of use either.
 func (d *Dispatcher) isHopeless(j *job) bool {
+	if d.now.Add(j.criticalPath).After(j.expiresAt) {
+		return true
+	}
 	p := d.pool(j.queue.Pool)
 	if j.held && d.now.After(d.leadingSince.Add(listTime)) {
 		return d.recoveryUntil.Sub(d.now)+j.criticalPath > j.expiresAt.Sub(d.now)
--- a/core/locator/tunnel.go
+++ b/core/locator/tunnel.go
@@ -36,7 +36,8 @@
 // dial connects to the controller. The connection fails soon after the other side stops acknowledging sent bytes.
 func (r route) dial(ctx context.Context) (net.Conn, error) {
 	if !r.isRelayed() {
-		return dialer.NewTCP(dialTimeout).DialContext(ctx, "tcp", r.controller.String())
+		redialer := dialer.Redialer{Timeout: dialTimeout, Control: dialer.NewTCP(dialTimeout).Control}
+		return redialer.Dial(ctx, r.controller)
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
