Name the disk in the answer that an identity has been replaced

Cause: a late answer about an earlier disk of a name could release a follower from the leader that runs under that name now, found in review. The answer now names the disk, and only that identity counts as gone.

--- a/state/replicator/election.go
+++ b/state/replicator/election.go
@@ -106,8 +106,8 @@
 }
 
 // noteReplaced concludes that the last leader does not lead any more, from a message of the server that has replaced it.
-func (n *Node) noteReplaced(by ServerID) {
-	if by.Name == n.state.Leader.Name && by.Disk != n.state.Leader.Disk {
+func (n *Node) noteReplaced(by ServerID, disk uint64) {
+	if replaced := (ServerID{Name: by.Name, Disk: disk}); replaced == n.state.Leader && by != replaced {
 		n.leaderGone = true
 	}
 }
@@ -115,7 +115,7 @@
 // answerForReplaced answers a request for votes to a server of this name whose disk is lost.
 func (n *Node) answerForReplaced(envelope Envelope) {
 	if _, ok := envelope.Message.(RequestVote); ok && envelope.To.Name == n.Self.Name && envelope.valid() {
-		n.emit(Send{Envelope{From: n.Self, To: envelope.From, Message: VoteReply{PreVote: true, Replaced: true}}})
+		n.emit(Send{Envelope{From: n.Self, To: envelope.From, Message: VoteReply{PreVote: true, Replaced: true, ReplacedDisk: envelope.To.Disk}}})
 	}
 }
 
--- a/state/replicator/fault_test.go
+++ b/state/replicator/fault_test.go
@@ -121,7 +121,7 @@
 	t.Run("the host only tells that it has replaced its former identity", func(t *testing.T) {
 		c.now = c.now.Add(time.Minute)
 		envelope := Envelope{From: behind.id, To: lost.id, Term: 9, Message: request}
-		answer := Envelope{From: returned.id, To: behind.id, Message: VoteReply{PreVote: true, Replaced: true}}
+		answer := Envelope{From: returned.id, To: behind.id, Message: VoteReply{PreVote: true, Replaced: true, ReplacedDisk: lost.id.Disk}}
 		must.Eq(t, []Action{Send{answer}}, returned.node.Step(returned.clock(c.now), Received{Envelope: envelope}))
 		must.Eq(t, 0, returned.node.Term())
 		envelope.Message = AppendEntries{Round: 1}
--- a/state/replicator/receive.go
+++ b/state/replicator/receive.go
@@ -16,7 +16,7 @@
 		n.receiveRequestVote(from, term, message)
 	case VoteReply:
 		if message.Replaced {
-			n.noteReplaced(from)
+			n.noteReplaced(from, message.ReplacedDisk)
 			return
 		}
 		if !message.PreVote || !message.Granted {
--- a/state/replicator/recovery_test.go
+++ b/state/replicator/recovery_test.go
@@ -66,20 +66,27 @@
 	})
 }
 
+func requestVote(ServerID, ServerID) Message { return RequestVote{PreVote: true} }
+
+func replacedReply(disk uint64) Message {
+	return VoteReply{PreVote: true, Replaced: true, ReplacedDisk: disk}
+}
+
 // Guards against a follower that is released from its leader by a message that does not prove that the leader leads no more.
 func TestReleaseFromALeader(t *testing.T) {
 	for _, each := range []struct {
 		name     string
 		from     func(leader, other ServerID) ServerID
 		term     Term // relative to the leader's
-		message  Message
+		message  func(leader, other ServerID) Message
 		released bool
 	}{
-		{"the leader asks for votes of a later term", func(leader, _ ServerID) ServerID { return leader }, 1, RequestVote{PreVote: true}, true},
-		{"the leader's request of its own term arrives late", func(leader, _ ServerID) ServerID { return leader }, 0, RequestVote{}, false},
-		{"another server asks for votes", func(_, other ServerID) ServerID { return other }, 1, RequestVote{PreVote: true}, false},
-		{"the leader's name runs on another disk", func(leader, _ ServerID) ServerID { return ServerID{leader.Name, 99} }, 0, VoteReply{PreVote: true, Replaced: true}, true},
-		{"another server's name runs on another disk", func(_, other ServerID) ServerID { return ServerID{other.Name, 99} }, 0, VoteReply{PreVote: true, Replaced: true}, false},
+		{"the leader asks for votes of a later term", func(leader, _ ServerID) ServerID { return leader }, 1, requestVote, true},
+		{"the leader's request of its own term arrives late", func(leader, _ ServerID) ServerID { return leader }, 0, requestVote, false},
+		{"another server asks for votes", func(_, other ServerID) ServerID { return other }, 1, requestVote, false},
+		{"the leader's name runs on another disk", func(leader, _ ServerID) ServerID { return ServerID{leader.Name, 99} }, 0, func(leader, _ ServerID) Message { return replacedReply(leader.Disk) }, true},
+		{"an earlier disk of the leader's name was replaced", func(leader, _ ServerID) ServerID { return ServerID{leader.Name, 99} }, 0, func(ServerID, ServerID) Message { return replacedReply(98) }, false},
+		{"another server's name runs on another disk", func(_, other ServerID) ServerID { return ServerID{other.Name, 99} }, 0, func(_, other ServerID) Message { return replacedReply(other.Disk) }, false},
 	} {
 		for _, restarted := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, restarted: %v", each.name, restarted), func(t *testing.T) {
@@ -90,7 +97,8 @@
 					c.startHost(follower)
 				}
 				must.True(t, follower.node.boundToLeader())
-				c.step(follower, Received{Envelope{From: each.from(leader.id, other.id), To: follower.id, Term: leader.node.Term() + each.term, Message: each.message}})
+				c.step(follower, Received{Envelope{From: each.from(leader.id, other.id), To: follower.id, Term: leader.node.Term() + each.term,
+					Message: each.message(leader.id, other.id)}})
 				must.Eq(t, each.released, !follower.node.boundToLeader())
 			})
 		}
--- a/state/transporter/envelope.go
+++ b/state/transporter/envelope.go
@@ -12,7 +12,7 @@
 		m.Message = &Envelope_RequestVote{&RequestVote{PreVote: message.PreVote, Transfer: message.Transfer,
 			LastIndex: uint64(message.LastIndex), LastTerm: uint64(message.LastTerm)}}
 	case replicator.VoteReply:
-		m.Message = &Envelope_VoteReply{&VoteReply{PreVote: message.PreVote, Granted: message.Granted, Replaced: message.Replaced}}
+		m.Message = &Envelope_VoteReply{&VoteReply{PreVote: message.PreVote, Granted: message.Granted, Replaced: message.Replaced, ReplacedDisk: message.ReplacedDisk}}
 	case replicator.AppendEntries:
 		m.Message = &Envelope_AppendEntries{encodeAppendEntries(message)}
 	case replicator.AppendReply:
@@ -46,7 +46,8 @@
 		return replicator.RequestVote{PreVote: kind.RequestVote.GetPreVote(), Transfer: kind.RequestVote.GetTransfer(),
 			LastIndex: replicator.Index(kind.RequestVote.GetLastIndex()), LastTerm: replicator.Term(kind.RequestVote.GetLastTerm())}, nil
 	case *Envelope_VoteReply:
-		return replicator.VoteReply{PreVote: kind.VoteReply.GetPreVote(), Granted: kind.VoteReply.GetGranted(), Replaced: kind.VoteReply.GetReplaced()}, nil
+		return replicator.VoteReply{PreVote: kind.VoteReply.GetPreVote(), Granted: kind.VoteReply.GetGranted(), Replaced: kind.VoteReply.GetReplaced(),
+			ReplacedDisk: kind.VoteReply.GetReplacedDisk()}, nil
 	case *Envelope_AppendEntries:
 		return decodeAppendEntries(kind.AppendEntries)
 	case *Envelope_AppendReply:
