--- a/core/locator/relayed_test.go
+++ b/core/locator/relayed_test.go
@@ -7,6 +7,26 @@
 	"github.com/shoenig/test/must"
 )
 
+// assertMoves checks that a client which is cut off moves from the relay that it uses to the other one of two after a fault.
+func assertMoves(t *testing.T, fault func(site *relayedSite, used netip.AddrPort, kill func())) {
+	t.Helper()
+	site := newRelayedSite(t)
+	kill := make(map[netip.AddrPort]func())
+	for range 2 {
+		relay, cancel := site.addRelay(site.isLeader)
+		kill[relay] = cancel
+	}
+	client := site.start()
+	site.isCut.Store(true)
+	used := client.next().relay
+	must.MapContainsKey(t, kill, used)
+	fault(site, used, kill[used])
+	delete(kill, used)
+	for other := range kill {
+		client.mustFindThrough(other)
+	}
+}
+
 func TestRelays(t *testing.T) {
 	t.Run("a client that is cut off uses a relay, and returns to the direct path", func(t *testing.T) {
 		// Guards against agents that are lost although an entry's host reaches the leader, and against a relay that keeps them.
@@ -39,21 +59,11 @@
 		client.mustFindThrough(relay)
 	})
 	t.Run("a client whose relay dies moves to another one", func(t *testing.T) {
-		site := newRelayedSite(t)
-		kill := make(map[netip.AddrPort]func())
-		for range 2 {
-			relay, cancel := site.addRelay(site.isLeader)
-			kill[relay] = cancel
-		}
-		client := site.start()
-		site.isCut.Store(true)
-		used := client.next().relay
-		must.MapContainsKey(t, kill, used)
-		kill[used]()
-		delete(kill, used)
-		for other := range kill {
-			client.mustFindThrough(other)
-		}
+		assertMoves(t, func(_ *relayedSite, _ netip.AddrPort, kill func()) { kill() })
+	})
+	t.Run("a client whose relay freezes, or is cut off from the leader, moves to another one", func(t *testing.T) {
+		// Guards against a silent stream through a relay that lasts longer than a direct one.
+		assertMoves(t, func(site *relayedSite, used netip.AddrPort, _ func()) { site.frozen.Store(used) })
 	})
 	t.Run("a client moves back and forth as often as its path is cut", func(t *testing.T) {
 		// Guards against a stream of the former path that ends the one of the new path.
--- a/core/locator/relayedsite_test.go
+++ b/core/locator/relayedsite_test.go
@@ -40,6 +40,7 @@
 	trusted    credentials.TransportCredentials // of clients, which check the controller's certificate
 	isCut      atomic.Bool                      // the clients' direct connections pass nothing on, and no new one opens
 	isDeaf     atomic.Bool                      // the same for the data to the clients only
+	frozen     atomic.Value                     // netip.AddrPort of a relay whose connections pass nothing on
 	opened     atomic.Int64
 }
 
@@ -49,14 +50,14 @@
 	found chan route // each route on which it found the leader
 }
 
-// cutConn is a direct connection of a client. While the path is cut it passes nothing on and reports no error.
+// cutConn is a connection of a client. While its path is cut it passes nothing on and reports no error.
 type cutConn struct {
 	net.Conn
-	site *relayedSite
+	mayWrite, mayRead func() bool
 }
 
 func (c *cutConn) Write(p []byte) (int, error) {
-	if c.site.isCut.Load() {
+	if !c.mayWrite() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
@@ -65,7 +66,7 @@
 func (c *cutConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.site.isCut.Load() && !c.site.isDeaf.Load() {
+		if err != nil || c.mayRead() {
 			return n, err
 		}
 	}
@@ -89,10 +90,7 @@
 }
 
 func (s *relayedSite) dial(ctx context.Context, r route) (net.Conn, error) {
-	if r.isRelayed() {
-		return r.dial(ctx)
-	}
-	if s.isCut.Load() {
+	if !r.isRelayed() && s.isCut.Load() {
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
 	}
@@ -100,7 +98,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &cutConn{Conn: conn, site: s}, nil
+	if r.isRelayed() {
+		thawed := func() bool { return s.frozen.Load() != r.relay }
+		return &cutConn{Conn: conn, mayWrite: thawed, mayRead: thawed}, nil
+	}
+	return &cutConn{Conn: conn, mayWrite: func() bool { return !s.isCut.Load() },
+		mayRead: func() bool { return !s.isCut.Load() && !s.isDeaf.Load() }}, nil
 }
 
 func listen(t *testing.T) net.Listener {
