--- a/core/relayer/boundedlistener.go
+++ b/core/relayer/boundedlistener.go
@@ -11,12 +11,6 @@
 	slots *slots
 }
 
-// boundedConn releases its slot when it is closed.
-type boundedConn struct {
-	*net.TCPConn
-	release func()
-}
-
 // Accept returns the next connection that has a slot.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
@@ -30,9 +24,3 @@
 		_ = conn.Close()
 	}
 }
-
-// Close closes the connection and releases its slot.
-func (c *boundedConn) Close() error {
-	c.release()
-	return c.TCPConn.Close()
-}
