--- a/controller/server/snapshotahead_test.go
+++ b/controller/server/snapshotahead_test.go
@@ -4,9 +4,14 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"oleandertally/core/specifier"
 )
@@ -33,6 +38,7 @@
 	earlyContent, err := os.ReadFile(earlyJournals[0])
 	must.NoError(t, err)
 	accept(5, 60)
+	c.waitSnapshot(0, 40) // saved in the background
 	must.ErrorIs(t, c.kill(0), context.Canceled)
 	for _, name := range journals() {
 		must.NoError(t, os.Remove(name))
@@ -49,3 +55,17 @@
 	conflicting.Digest[0] = 2
 	must.Eq(t, specifier.Conflict, c.propose(conflicting).Verdict)
 }
+
+// waitSnapshot waits until a controller has saved a snapshot that covers an index.
+func (c *cluster) waitSnapshot(i int, index uint64) {
+	c.t.Helper()
+	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		names, err := filepath.Glob(filepath.Join(c.dataFolder(i), "*.snapshot"))
+		must.NoError(c.t, err)
+		return slices.ContainsFunc(names, func(name string) bool {
+			digits, _, _ := strings.Cut(filepath.Base(name), ".")
+			saved, err := strconv.ParseUint(digits, 16, 64)
+			return err == nil && saved >= index
+		})
+	}), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
+}
