--- a/agent/leaserunner/runner.go
+++ b/agent/leaserunner/runner.go
@@ -22,7 +22,7 @@
 const (
 	mailboxSize = 1024
 	// idleTimeout is about as long as an election takes: before its end there is no other leader to find.
-	idleTimeout = 500 * time.Millisecond
+	idleTimeout = 400 * time.Millisecond
 	// idleRenewals is the least number of renewals, each of which the leading controller answers, within the time-out. With fewer,
 	// agents reconnect while a new leader is busy with all of them.
 	idleRenewals = 4
--- a/entry/requester/requester.go
+++ b/entry/requester/requester.go
@@ -18,7 +18,7 @@
 const (
 	mailboxSize = 4096
 	// idleTimeout is about as long as an election takes: before its end there is no other leader to find.
-	idleTimeout = 500 * time.Millisecond
+	idleTimeout = 400 * time.Millisecond
 )
 
 // Requester calls the leading controller. Exported fields are set before Run.
--- a/state/replicator/recovery_test.go
+++ b/state/replicator/recovery_test.go
@@ -8,8 +8,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// losePower stops all servers at the same time. What is queued for their disks is lost.
-func losePower(c *cluster) {
+// stopAll stops all servers at the same time. What is queued for their disks is lost.
+func stopAll(c *cluster) {
 	for _, h := range c.hosts {
 		c.crash(h, 0)
 	}
@@ -36,7 +36,7 @@
 			c := newCluster(5, seed, settings)
 			assertReached(t, c, func() bool { return c.leading() != nil })
 			assertCommits(t, c, 2)
-			losePower(c)
+			stopAll(c)
 			assertLeaderWithin(t, c, settings.ElectionTimeout-1, c.hosts...)
 		})
 		t.Run(fmt.Sprint("the leader and another server have lost their disks ", seed), func(t *testing.T) {
@@ -44,7 +44,7 @@
 			assertReached(t, c, func() bool { return c.leading() != nil })
 			leader := c.leading()
 			assertCommits(t, c, 2)
-			losePower(c)
+			stopAll(c)
 			rest, other := others(c, leader)[1:], others(c, leader)[0]
 			for _, h := range []*host{leader, other} {
 				h.diskLost = true
@@ -57,7 +57,7 @@
 		// Its lease may still be in force, so that no server may be elected before an election timeout has passed.
 		c, leader := startCluster(t, 3)
 		rest := others(c, leader)
-		losePower(c)
+		stopAll(c)
 		for _, h := range rest {
 			c.startHost(h)
 		}
--- a/state/replicator/schedule_test.go
+++ b/state/replicator/schedule_test.go
@@ -111,6 +111,10 @@
 
 // restart crashes a server, starts a crashed server, or crashes and starts a server in one step.
 func (s *schedule) restart(h *host) {
+	if s.pick(10) == 0 {
+		s.losePower()
+		return
+	}
 	if h.diskLost {
 		return
 	}
@@ -123,6 +127,20 @@
 	}
 }
 
+// losePower crashes all servers at the same time, and starts most of them again.
+func (s *schedule) losePower() {
+	for _, h := range s.hosts {
+		if h.up {
+			s.crash(h, s.pick(len(h.disk.queue)+1))
+		}
+	}
+	for _, h := range s.hosts {
+		if !h.diskLost && s.pick(4) > 0 {
+			s.startHost(h)
+		}
+	}
+}
+
 // partition isolates one server or the leader, blocks one direction between two servers, or blocks both directions between
 // the leader and a server that the others still reach. Otherwise, it ends all partitions.
 func (s *schedule) partition(h *host, kind int) {
