Keep two servers that ask for pre-votes from splitting the votes

A preferred server granted the pre-vote of one that should yield to it, so that both could start an election and split the votes of a small majority. It now grants none for two heartbeats, once in an election timeout.

--- a/state/replicator/election.go
+++ b/state/replicator/election.go
@@ -29,6 +29,9 @@
 	if !n.mayCampaign() {
 		return
 	}
+	if !n.now.Before(n.insistUntil.Add(n.Settings.ElectionTimeout)) {
+		n.insistUntil = n.now.Add(insistHeartbeats * n.Settings.Heartbeat)
+	}
 	n.role, n.leader = PreCandidate, ServerID{}
 	n.votes = make(map[ServerID]bool)
 	n.requestVotes(n.state.Term+1, RequestVote{PreVote: true}, n.sendNow)
@@ -119,11 +122,18 @@
 	}
 }
 
+// insistHeartbeats is the number of heartbeats for which a server insists on its own pre-votes. It is enough for their answers.
+const insistHeartbeats = 2
+
+// prefers reports whether another server with a log that is not shorter should win an election rather than this one.
+func (n *Node) prefers(from ServerID, request RequestVote) bool {
+	return request.LastTerm > n.log.lastTerm() || request.LastIndex > n.log.last() || from.Compare(n.Self) < 0
+}
+
 // yield makes a server that asks for pre-votes give way to a preferred one that does so too, so that they do not split the votes. It does so
 // once in an election timeout, because the other one may be unable to win.
 func (n *Node) yield(from ServerID, request RequestVote) {
-	preferred := request.LastTerm > n.log.lastTerm() || request.LastIndex > n.log.last() || from.Compare(n.Self) < 0
-	if n.role == Leader || n.role == Candidate || !preferred || n.now.Before(n.yieldedAt.Add(n.Settings.ElectionTimeout)) {
+	if n.role == Leader || n.role == Candidate || !n.prefers(from, request) || n.now.Before(n.yieldedAt.Add(n.Settings.ElectionTimeout)) {
 		return
 	}
 	n.yieldedAt = n.now
@@ -141,6 +151,9 @@
 	if n.boundToLeader() && !request.Transfer {
 		return
 	}
+	if request.PreVote && n.role == PreCandidate && n.now.Before(n.insistUntil) && n.upToDate(request) && !n.prefers(from, request) {
+		return // if both were granted, the two would split the votes
+	}
 	if request.PreVote {
 		granted := term > n.state.Term && n.upToDate(request)
 		if granted {
--- a/state/replicator/node.go
+++ b/state/replicator/node.go
@@ -27,6 +27,7 @@
 	leaderGone       bool      // the leader in state.Leader has shown that it does not lead state.LeaderTerm any more
 	electionDeadline time.Time
 	yieldedAt        time.Time // when this server last yielded to another one's pre-vote
+	insistUntil      time.Time // until then, a server that asks for pre-votes grants none to those that should yield to it
 	votes            map[ServerID]bool
 	lead             *leadership // nil unless leading
 
