Test pre-votes that are asked for at the same time

state/replicator TestPreVotesAtTheSameTime fails when the preferred server grants the other one's pre-vote, or when the other one does not yield.

--- a/state/replicator/recovery_test.go
+++ b/state/replicator/recovery_test.go
@@ -132,3 +132,42 @@
 		}
 	})
 }
+
+// Guards against two servers that ask for pre-votes at the same time, are both granted them, and split the votes.
+func TestPreVotesAtTheSameTime(t *testing.T) {
+	settings := testSettings()
+	// ask makes the first and the last server ask for pre-votes when no lease binds anybody, and delivers the request of one to the other.
+	ask := func(t *testing.T, from, to int, after time.Duration) (*host, []packet) {
+		c, _ := startCluster(t, 3)
+		stopAll(c)
+		for _, h := range c.hosts {
+			c.startHost(h)
+			c.sync(h, len(h.disk.queue))
+		}
+		c.now = c.now.Add(2 * settings.ElectionTimeout)
+		for _, h := range []*host{c.hosts[from], c.hosts[to]} {
+			h.node.now = h.clock(c.now)
+			h.node.startPreVote()
+			c.perform(h, h.node.finishStep())
+		}
+		c.packets = nil
+		c.now = c.now.Add(after)
+		request := RequestVote{PreVote: true, LastIndex: c.hosts[to].node.log.last(), LastTerm: c.hosts[to].node.log.lastTerm()}
+		c.step(c.hosts[to], Received{Envelope{From: c.hosts[from].id, To: c.hosts[to].id, Term: c.hosts[to].node.Term() + 1, Message: request}})
+		return c.hosts[to], c.packets
+	}
+	t.Run("the preferred one insists", func(t *testing.T) {
+		h, replies := ask(t, 2, 0, 0)
+		must.SliceEmpty(t, replies)
+		must.Eq(t, PreCandidate, h.node.Role())
+	})
+	t.Run("but not for long, since it may be unable to win", func(t *testing.T) {
+		_, replies := ask(t, 2, 0, 4*settings.Heartbeat)
+		must.SliceLen(t, 1, replies)
+	})
+	t.Run("the other one yields", func(t *testing.T) {
+		h, replies := ask(t, 0, 2, 0)
+		must.SliceLen(t, 1, replies)
+		must.Eq(t, Follower, h.node.Role())
+	})
+}
