Log from what figures a job is refused on arrival

JobRefused names no figures, so that an operator can't tell too little capacity from a wrong prediction. CapacityShort gives cores, use, arriving work, ratio and what the job could expect, at most once a second for each pool. Test: TestShortageIsLogged.

--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -11,6 +12,8 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is told to retry.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
+	// shortageInterval is the least time between two log lines about refusals in a pool.
+	shortageInterval = time.Second
 	// listTime is how long agents take at most to list their runs to a new leader, unless they are unreachable.
 	listTime = 150 * time.Millisecond
 )
@@ -30,12 +33,26 @@
 	if d.fitsNow(p, j) {
 		return specifier.QueueReply{}, false
 	}
-	if admit, retryAfter := d.Settings.Admission.Admit(d.demand(p, j)); !admit {
+	demand := d.demand(p, j)
+	if admit, retryAfter := d.Settings.Admission.Admit(demand); !admit {
+		d.logShortage(p, j, demand)
 		return specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: boundRetry(retryAfter), Detail: "it would not end in time"}, true
 	}
 	return specifier.QueueReply{}, false
 }
 
+// logShortage logs from what figures a job is refused, at most once in shortageInterval for each pool.
+func (d *Dispatcher) logShortage(p *pool, j *job, demand admitter.Demand) {
+	if d.now.Before(p.shortageLogged.Add(shortageInterval)) {
+		return
+	}
+	p.shortageLogged = d.now
+	d.emit(LogEvent{Event: "CapacityShort", Job: j.ID, Queue: j.Queue, Count: d.waitingTasks, Age: d.now.Sub(j.arrived),
+		Detail: fmt.Sprintf("pool %s: %.1f cores, %.1f in use, %.1f arriving, ratio %.2f; job: %.1f cores expected, %v before it, %v displaced, %v left, zone ahead by %.2f",
+			p.name, demand.AllSlots, p.waiting.InUse(), demand.Arriving, p.pace.Value(), demand.Slots, demand.QueuedWork.Round(time.Millisecond),
+			demand.Displaced.Round(time.Millisecond), demand.TimeLeft.Round(time.Millisecond), demand.Lead)})
+}
+
 // fitsNow reports whether the workers have room for all tasks of the job that do not wait for another step: a worker for a task of each
 // step, and as many free cores as all of them need.
 func (d *Dispatcher) fitsNow(p *pool, j *job) bool {
--- a/controller/dispatcher/pool.go
+++ b/controller/dispatcher/pool.go
@@ -22,6 +22,8 @@
 	pace       admitter.Ratio            // run time over the estimate
 	capacity   float64                   // cores of the workers that may get tasks, at measuredAt
 	measuredAt time.Time
+	// shortageLogged is when it was last logged why jobs are refused.
+	shortageLogged time.Time
 }
 
 const (
--- a/controller/dispatcher/refusal_test.go
+++ b/controller/dispatcher/refusal_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +51,23 @@
 		mustRefuse(t, f, 55*time.Millisecond, true)
 	})
 }
+
+// Guards against refusals that an operator can't explain, and against a log that grows with the load.
+func TestShortageIsLogged(t *testing.T) {
+	f := newFixture(t, 1)
+	refused, logged := 0, 0
+	for number := range 60 {
+		f.submit(strings.Repeat("a", number+1), 2, true)
+		for _, event := range find[LogEvent](f.actions) {
+			switch event.Event {
+			case "JobRefused":
+				refused++
+			case "CapacityShort":
+				logged++
+				must.StrContains(t, event.Detail, "pool p: 2.0 cores, 2.0 in use")
+			}
+		}
+	}
+	must.Greater(t, 20, refused)
+	must.Eq(t, 1, logged)
+}
