--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -94,6 +94,9 @@
 		return true
 	}
 	p := d.pool(j.queue.Pool)
+	if p.setAside(j) {
+		return true
+	}
 	if j.held && d.now.After(d.leadingSince.Add(listTime)) {
 		return d.recoveryUntil.Sub(d.now)+j.criticalPath > j.expiresAt.Sub(d.now)
 	}
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -97,12 +97,18 @@
 			d.start(a, t)
 			return true
 		}
+		if d.unplaceable(p, t.step()) {
+			d.setAside(t)
+			t, ok = d.first(kind)
+			tries--
+			continue
+		}
 		t, ok = smaller(p, kind, t)
 	}
 	return false
 }
 
-// smaller returns the first of the tasks of a kind that may fit although the given one does not: it needs fewer cores, or only some
+// smaller returns the first of the tasks of a kind that may fit although the given one does not: it needs less of a resource, or only some
 // workers may run one of them.
 func smaller(p *pool, kind *sharer.Kind[readyTask], missed *task) (*task, bool) {
 	missed.passedAt = p.placements
@@ -112,7 +118,7 @@
 			return
 		}
 		need := entry.task.step()
-		if need.Resources.MilliCores > room || need.Resources.MilliCores >= step.Resources.MilliCores && !step.Constrained() {
+		if need.Resources.MilliCores > room || step.Resources.Fits(need.Resources) && !step.Constrained() {
 			return
 		}
 		best = entry
--- a/controller/dispatcher/pool.go
+++ b/controller/dispatcher/pool.go
@@ -16,6 +16,7 @@
 	waiting    sharer.Queue[readyTask]
 	blocked    []*sharer.Kind[readyTask] // kinds without a task that fits, in the placement under way
 	changed    bool                      // a task or room was added since the last placement
+	aside      []*task                   // tasks that no worker could hold
 	placements uint64                    // number of placements so far
 	arrivals   admitter.Meter            // core-seconds
 	lateWork   float64                   // core-seconds of waiting tasks that can't end within the objective
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -110,11 +110,16 @@
 		d.emit(LogEvent{Event: "WorkerDraining", Agent: a.name, Detail: worker.ID})
 		d.surveyAt = d.now
 	}
+	changed := a.worker == nil || a.worker.Capacity != worker.Capacity || !slices.Equal(a.worker.Labels, worker.Labels) || a.worker.Draining != worker.Draining
 	if a.worker == nil || !slices.Equal(a.worker.Labels, worker.Labels) {
 		a.indexedFree = 0 // tasks that could not run there may now
 	}
 	a.worker, a.coldUntil = worker, d.now.Add(worker.ColdFor)
+	changed = changed || a.pool != d.pool(worker.Pool)
 	d.joinPool(a, d.pool(worker.Pool))
+	if changed {
+		d.requeueAside(a.pool)
+	}
 }
 
 func (d *Dispatcher) agentDisconnected(stream Stream) {
--- a/controller/dispatcher/task.go
+++ b/controller/dispatcher/task.go
@@ -27,6 +27,7 @@
 	work          float64             // core-seconds by its estimate
 	place         sharer.BacklogPlace // where the backlog of its kind counts it, unless it is late
 	passedAt      uint64              // placement of the pool that found no room for it
+	aside         bool                // no worker could hold it; it is in the pool's list of such tasks
 	late          bool                // it waits behind the tasks that can end within their objectives
 }
 
--- a/controller/dispatcher/waiting.go
+++ b/controller/dispatcher/waiting.go
@@ -139,6 +139,7 @@
 func (d *Dispatcher) requeueAll() {
 	var list []*task
 	for _, p := range d.poolList {
+		d.requeueAside(p)
 		for _, kind := range p.waiting.Kinds() {
 			for entry, ok := kind.Pop(); ok; entry, ok = kind.Pop() {
 				if entry.valid() {
--- a/controller/dispatcher/waitingtasks.go
+++ b/controller/dispatcher/waitingtasks.go
@@ -35,13 +35,16 @@
 func (d *Dispatcher) waitingOf(j *job) map[WaitingReason]int {
 	var counts map[WaitingReason]int
 	for number, tasks := range j.tasks {
-		waiting := 0
+		waiting, aside := 0, 0
 		for _, t := range tasks {
-			if t.queuedAs != 0 {
+			switch {
+			case t.queuedAs != 0:
 				waiting++
+			case t.aside && t.state == taskReady && !j.ended:
+				aside++
 			}
 		}
-		if waiting == 0 {
+		if waiting+aside == 0 {
 			continue
 		}
 		reason := WaitsForRoom
@@ -51,7 +54,12 @@
 		if counts == nil {
 			counts = make(map[WaitingReason]int)
 		}
-		counts[reason] += waiting
+		if waiting > 0 {
+			counts[reason] += waiting
+		}
+		if aside > 0 {
+			counts[WaitsForWorker] += aside
+		}
 	}
 	return counts
 }
