--- a/controller/dispatcher/agent.go
+++ b/controller/dispatcher/agent.go
@@ -35,6 +35,11 @@
 	acknowledgedEnd   uint64    // number of the last end that need not be reported again
 	ends              []*pendingEnd
 	health            health
+	pace              float64 // see Dispatcher.pace; when its place was last updated
+	slow              bool    // logged as slow
+	endSum            float64 // expected ends of its runs times their milli-cores, in seconds since endBase
+	endBase           int64   // Unix time in nanoseconds
+	memberships       []*membership
 	pool              *pool // pool of its worker; nil until reported
 	place             placer.Place[*agent]
 	touched           bool // its place is out of date
@@ -52,6 +57,7 @@
 func (a *agent) add(r *run) {
 	a.runs[r.key] = r
 	a.used = a.used.Plus(r.resources)
+	a.expectEnd(r, 1)
 	if r.resources == (specifier.Resources{}) {
 		a.unknownRuns++
 	}
@@ -76,6 +82,7 @@
 	delete(a.runs, r.key)
 	r.count(nil)
 	a.used = a.used.Minus(r.resources)
+	a.expectEnd(r, -1)
 	if r.resources == (specifier.Resources{}) {
 		a.unknownRuns--
 	}
--- a/controller/dispatcher/agents.go
+++ b/controller/dispatcher/agents.go
@@ -45,7 +45,7 @@
 		return
 	}
 	d.leavePool(a)
-	a.pool, a.place.Worker = p, a
+	a.pool, a.place.Worker, a.pace = p, a, 1
 	at, _ := slices.BinarySearchFunc(p.agents, a, compareAgents)
 	p.agents = slices.Insert(p.agents, at, a)
 }
@@ -54,6 +54,8 @@
 	if a.pool == nil {
 		return
 	}
+	d.leaveGroups(a)
+	a.pool.estimates.Forget(a.name)
 	a.pool.workers.Remove(&a.place)
 	a.pool.agents = slices.DeleteFunc(a.pool.agents, func(other *agent) bool { return other == a })
 	a.pool = nil
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 
 	"oleandertally/core/container"
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/estimator"
 	"oleandertally/state/jobrecorder"
 )
 
@@ -17,6 +18,9 @@
 	Leading func(now time.Time) bool
 	// EnoughVoters reports whether enough controllers replicate the log for changes to be accepted.
 	EnoughVoters func() bool
+	// NewEstimates returns the model that predicts the run times in a pool, by names of agents and queues. Without it, the model learns
+	// from the runs.
+	NewEstimates func() estimator.Policy[string, string]
 
 	now             time.Time
 	actions         []Action
@@ -116,6 +120,8 @@
 		d.expireAgent(due.agent)
 	case due.returning != nil:
 		d.touch(due.returning)
+	case due.review != nil:
+		due.review.changed = true
 	}
 }
 
--- a/controller/dispatcher/end.go
+++ b/controller/dispatcher/end.go
@@ -99,11 +99,8 @@
 	switch end.Kind {
 	case specifier.EndDone:
 		if r != nil {
-			ratio := runTimeRatio(r.startedAt, d.now, t.step().Estimate)
-			a.health.succeeded(ratio)
-			if a.pool != nil {
-				a.pool.pace.Add(t.coreSeconds(), ratio)
-			}
+			a.health.succeeded()
+			d.learn(a, t, r)
 		}
 		d.emit(LogEvent{Event: "TaskDone", Job: t.job.ID, Task: t.name, Run: end.Key.Run, Agent: a.name, Age: age})
 	case specifier.EndFailed:
@@ -116,6 +113,17 @@
 	}
 }
 
+// learn updates what is predicted about a worker, a queue and a pool from a run that succeeded. A run that this leader did not start
+// tells nothing, since it is not known when it began.
+func (d *Dispatcher) learn(a *agent, t *task, r *run) {
+	if a.pool == nil || r.expectedEnd.IsZero() {
+		return
+	}
+	expected := r.expectedEnd.Sub(r.startedAt)
+	a.pool.pace.Add(t.coreSeconds(), runTimeRatio(r.startedAt, d.now, expected))
+	a.pool.estimates.Ended(d.now, r.sample(t, d.now))
+}
+
 // taskCompleted marks a task as done, and completes the job with its last task.
 func (d *Dispatcher) taskCompleted(t *task) {
 	j := t.job
--- a/controller/dispatcher/health.go
+++ b/controller/dispatcher/health.go
@@ -1,10 +1,12 @@
 package dispatcher
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
-// health is a worker's speed and failures, derived from the ends of its runs.
+// health is a worker's failures, derived from the ends of its runs.
 type health struct {
-	pace         float64       // measured run time over the estimate, smoothed; 0 until measured
 	failures     int           // consecutive, of different jobs
 	lastJob      string        // job of the last failure
 	ejectedUntil time.Time     // no task is started before
@@ -13,28 +15,42 @@
 }
 
 const (
-	// paceWeight is the weight of a new sample of the pace.
-	paceWeight = 0.15
 	// failuresToEject is how many different jobs must fail consecutively before a worker is ejected.
 	failuresToEject = 2
 	minEjection     = time.Second
 	maxEjection     = 4 * time.Second
 )
 
-// expectedPace returns the pace, or 1 until it is measured.
-func (h *health) expectedPace() float64 {
-	if h.pace == 0 {
-		return 1
+// pace returns the run time at an agent's worker in relation to that at the pool's typical worker.
+func (d *Dispatcher) pace(a *agent) float64 {
+	pace := a.pool.estimates.Pace(d.now, a.name)
+	if d.now.Before(a.coldUntil) {
+		pace *= a.pool.estimates.ColdPace()
 	}
-	return h.pace
+	return pace
 }
 
-// succeeded records a successful run with the ratio of its run time to its estimate.
-func (h *health) succeeded(ratio float64) {
-	if h.pace == 0 {
-		h.pace = ratio
+// A worker is logged as slow from pace slowEvent on, and as usual again below usualEvent.
+const (
+	slowEvent  = 2
+	usualEvent = 1.5
+)
+
+// updatePace updates the pace by which an agent's worker is chosen, and logs when the worker becomes slow or usual.
+func (d *Dispatcher) updatePace(a *agent) {
+	a.pace = d.pace(a)
+	switch {
+	case !a.slow && a.pace >= slowEvent:
+		a.slow = true
+		d.emit(LogEvent{Event: "WorkerSlow", Agent: a.name, Detail: fmt.Sprintf("runs take %.1f times as long as usual", a.pace)})
+	case a.slow && a.pace < usualEvent:
+		a.slow = false
+		d.emit(LogEvent{Event: "WorkerUsual", Agent: a.name})
 	}
-	h.pace += paceWeight * (ratio - h.pace)
+}
+
+// succeeded records a successful run.
+func (h *health) succeeded() {
 	h.failures, h.lastJob, h.ejection, h.probing = 0, "", 0, false
 }
 
--- a/controller/dispatcher/job.go
+++ b/controller/dispatcher/job.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -10,7 +11,8 @@
 type job struct {
 	specifier.QueuedJob
 	queue        specifier.Queue
-	zone         string // of the entry that took it
+	zone         string  // of the entry that took it
+	factor       float64 // by which the estimates of its steps exceed those that the caller declared
 	arrived      time.Time
 	criticalPath time.Duration // run time of its longest chain of steps
 	due          time.Time     // objective for its end
@@ -41,8 +43,14 @@
 // refusalDivisor of the objective is the time in which a caller should learn that its job is refused.
 const refusalDivisor = 4
 
-func newJob(definition specifier.QueuedJob, queue specifier.Queue, now time.Time) *job {
-	j := &job{QueuedJob: definition, queue: queue, arrived: now, criticalPath: definition.IdealRunTime()}
+// newJob returns a job that has the estimates of its definition times a factor, by which those of its queue are usually exceeded.
+func newJob(definition specifier.QueuedJob, queue specifier.Queue, now time.Time, factor float64) *job {
+	definition.Steps = slices.Clone(definition.Steps)
+	for number := range definition.Steps {
+		step := &definition.Steps[number]
+		step.Estimate = time.Duration(float64(step.Estimate) * factor)
+	}
+	j := &job{QueuedJob: definition, queue: queue, factor: factor, arrived: now, criticalPath: definition.IdealRunTime()}
 	for number, step := range definition.Steps {
 		var tasks []*task
 		for index := range step.Count {
@@ -58,6 +66,11 @@
 	return j
 }
 
+// declared returns the estimate of a step that the caller declared.
+func (j *job) declared(step int) time.Duration {
+	return time.Duration(float64(j.Steps[step].Estimate) / j.factor)
+}
+
 // eachTask calls visit for every task.
 func (j *job) eachTask(visit func(*task)) {
 	for _, step := range j.tasks {
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -44,7 +44,7 @@
 	d.restoreEvacuations()
 	for _, id := range d.Recorder.OpenJobs() {
 		record := d.Recorder.Job(id)
-		j := newJob(record.Job, d.Recorder.QueueOf(record), d.now)
+		j := newJob(record.Job, d.Recorder.QueueOf(record), d.now, 1)
 		j.recorded = true
 		j.started = record.State == specifier.JobRunning
 		d.jobs[id] = j
--- a/controller/dispatcher/placement.go
+++ b/controller/dispatcher/placement.go
@@ -46,14 +46,17 @@
 	switch {
 	case a.pool == nil:
 	case d.agents[a.name] != a || !d.available(a):
-		a.pool.workers.Remove(&a.place)
-		a.indexedFree = 0
+		a.pool.unindex(a)
 	default:
+		d.updatePace(a)
 		if free := a.free().MilliCores; free != a.indexedFree {
 			a.pool.changed = a.pool.changed || free > a.indexedFree
 			a.indexedFree = free
 		}
-		a.pool.workers.Set(&a.place, a.health.expectedPace(), a.free().MilliCores, a.worker.Capacity.MilliCores)
+		a.pool.workers.Set(&a.place, a.pace, a.free().MilliCores, a.worker.Capacity.MilliCores)
+		for _, each := range a.memberships {
+			each.reindex(a)
+		}
 	}
 }
 
@@ -92,27 +95,41 @@
 func (d *Dispatcher) placeKind(p *pool, kind *sharer.Kind[readyTask]) bool {
 	t, ok := d.first(kind)
 	for tries := 0; ok && tries < maxTries; tries++ {
-		if a := d.choose(p, t); a != nil {
+		chosen := d.decide(p, t)
+		if chosen.agent != nil {
 			d.dequeue(t)
-			d.start(a, t)
+			d.start(chosen.agent, t)
 			return true
 		}
-		t, ok = smaller(p, kind, t)
+		d.review(p, chosen.reviewAt)
+		if chosen.queued && t.rack != nil {
+			t.rack.passedAt = p.placements
+		}
+		t, ok = smaller(p, kind, t, chosen.faster)
 	}
 	return false
 }
 
-// smaller returns the first of the tasks of a kind that may fit although the given one does not: it needs fewer cores, or only some
-// workers may run one of them.
-func smaller(p *pool, kind *sharer.Kind[readyTask], missed *task) (*task, bool) {
+// review makes a placement look at the tasks of a pool at a time, when one of them that waits for a better worker no longer should.
+func (d *Dispatcher) review(p *pool, at time.Time) {
+	if at.IsZero() || !at.After(d.now) || p.reviewAt.After(d.now) && !at.Before(p.reviewAt) {
+		return
+	}
+	p.reviewAt = at
+	d.wake(at, timer{review: p})
+}
+
+// smaller returns the first of the tasks of a kind that may fit although the given one does not: it needs fewer cores, only some
+// workers may run one of them, or the given one needs a faster worker than those that have room.
+func smaller(p *pool, kind *sharer.Kind[readyTask], missed *task, faster bool) (*task, bool) {
 	missed.passedAt = p.placements
 	room, best, step := p.workers.Room(), readyTask{}, missed.step()
 	kind.Scan(maxLooked, func(entry readyTask) {
-		if !entry.valid() || entry.task.passedAt == p.placements || best.task != nil && readyBefore(best, entry) {
+		if !entry.valid() || entry.task.passedAt == p.placements || entry.task.rack.passed(p) || best.task != nil && readyBefore(best, entry) {
 			return
 		}
 		need := entry.task.step()
-		if need.Resources.MilliCores > room || need.Resources.MilliCores >= step.Resources.MilliCores && !step.Constrained() {
+		if need.Resources.MilliCores > room || need.Resources.MilliCores >= step.Resources.MilliCores && !step.Constrained() && !faster {
 			return
 		}
 		best = entry
@@ -123,7 +140,9 @@
 // start starts a task at an agent.
 func (d *Dispatcher) start(a *agent, t *task) {
 	t.startCount++
-	r := &run{key: specifier.RunKey{Task: t.name, Run: d.term*runTermFactor + t.startCount}, agent: a, resources: t.step().Resources, task: t, startedAt: d.now}
+	r := &run{key: specifier.RunKey{Task: t.name, Run: d.term*runTermFactor + t.startCount}, agent: a, resources: t.step().Resources, task: t, startedAt: d.now,
+		cost: d.cost(a, a.pool.rackOf(t.step())), cold: d.now.Before(a.coldUntil)}
+	r.expectedEnd = d.now.Add(d.runTime(a, t.step(), r.cost))
 	order := d.countedOrder(a)
 	r.order = a.orderCount
 	order.Starts = append(order.Starts, specifier.RunStart{Key: r.key, Content: t.job.Content, Checkpoint: t.checkpoint, Resources: r.resources})
@@ -132,7 +151,11 @@
 	t.state, t.run = taskPlaced, r
 	t.job.started, t.job.lastAgent = true, a
 	d.reindex(a)
-	d.emit(LogEvent{Event: "TaskStarted", Job: t.job.ID, Task: t.name, Run: r.key.Run, Agent: a.name, Age: d.now.Sub(t.job.arrived)})
+	detail := ""
+	if r.cost > 1 {
+		detail = "away from its data"
+	}
+	d.emit(LogEvent{Event: "TaskStarted", Job: t.job.ID, Task: t.name, Run: r.key.Run, Agent: a.name, Age: d.now.Sub(t.job.arrived), Detail: detail})
 	d.scheduleStallCheck(r)
 }
 
@@ -157,6 +180,10 @@
 	// A run is considered stalled after stallFactor times its estimate plus stallFloor.
 	stallFactor = 12
 	stallFloor  = 300 * time.Millisecond
+	// A run that takes longer than overdueFactor times the prediction plus overdueFloor tells that its worker is slow before it ends. One
+	// in twenty takes as long at a healthy worker.
+	overdueFactor = 2.5
+	overdueFloor  = 30 * time.Millisecond
 )
 
 // scheduleStallCheck schedules a check of a run for the time from which the run is considered stalled.
@@ -166,12 +193,23 @@
 	}
 	estimate := r.task.step().Estimate
 	r.checkAt = d.now.Add(stallFactor*estimate + stallFloor)
+	if !r.expectedEnd.IsZero() {
+		r.overdueAt = d.now.Add(time.Duration(overdueFactor*float64(r.expectedEnd.Sub(d.now))) + overdueFloor)
+		if r.overdueAt.Before(r.checkAt) {
+			d.wake(r.overdueAt, timer{run: r}) // which schedules the check
+			return
+		}
+	}
 	d.wake(r.checkAt, timer{run: r})
 }
 
 // expireRun stops a run that no job claims, or that is stalled.
 func (d *Dispatcher) expireRun(r *run) {
-	if r.agent.runs[r.key] != r || r.stopping || d.now.Before(r.checkAt) {
+	if r.agent.runs[r.key] != r || r.stopping {
+		return
+	}
+	d.checkOverdue(r)
+	if d.now.Before(r.checkAt) {
 		return
 	}
 	if r.task == nil {
@@ -191,6 +229,20 @@
 	d.stop(r)
 }
 
+// checkOverdue learns from a run that takes longer than expected. The end of a run at a silent agent may be under way.
+func (d *Dispatcher) checkOverdue(r *run) {
+	if r.overdueAt.IsZero() || d.now.Before(r.overdueAt) {
+		return
+	}
+	r.overdueAt = time.Time{}
+	d.wake(r.checkAt, timer{run: r})
+	if r.task == nil || r.agent.pool == nil || d.silent(r.agent) {
+		return
+	}
+	r.agent.pool.estimates.Overdue(d.now, r.sample(r.task, d.now))
+	d.touch(r.agent)
+}
+
 // eject ejects a worker and reports whether it was not ejected before.
 func (d *Dispatcher) eject(a *agent) bool {
 	if !a.health.eject(d.now) {
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -101,6 +101,9 @@
 func (d *Dispatcher) updateWorker(a *agent, worker *specifier.LeasedWorker) {
 	if a.worker == nil || a.worker.ID != worker.ID || !a.worker.StartedAt.Equal(worker.StartedAt) {
 		a.health = health{}
+		if a.pool != nil {
+			a.pool.estimates.Forget(a.name)
+		}
 		if a.worker != nil {
 			a.settled = false // stays false until the agent has fenced off the orders to the former incarnation
 		}
@@ -110,11 +113,15 @@
 		d.emit(LogEvent{Event: "WorkerDraining", Agent: a.name, Detail: worker.ID})
 		d.surveyAt = d.now
 	}
-	if a.worker == nil || !slices.Equal(a.worker.Labels, worker.Labels) {
+	relabelled := a.worker == nil || a.pool == nil || a.pool.name != worker.Pool || !slices.Equal(a.worker.Labels, worker.Labels)
+	if relabelled {
 		a.indexedFree = 0 // tasks that could not run there may now
 	}
 	a.worker, a.coldUntil = worker, d.now.Add(worker.ColdFor)
 	d.joinPool(a, d.pool(worker.Pool))
+	if relabelled {
+		d.joinGroups(a)
+	}
 }
 
 func (d *Dispatcher) agentDisconnected(stream Stream) {
--- a/controller/dispatcher/settings.go
+++ b/controller/dispatcher/settings.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	StaleAfter time.Duration
 	// Admission refuses transient jobs that would not end in time to be of use.
 	Admission admitter.Policy
+	// RemoteFactor is by which a task takes longer away from the rack of its data; 0 or 1 if it is not known.
+	RemoteFactor float64
 }
 
 // Defaults returns settings for callers that resubmit after more than a second.
@@ -53,6 +56,9 @@
 	if s.ResendAfter < 0 {
 		return errors.Newf("ResendAfter: got %v, expected at least 0", s.ResendAfter)
 	}
+	if s.RemoteFactor < 0 || math.IsNaN(s.RemoteFactor) {
+		return errors.Newf("RemoteFactor: got %v, expected at least 0", s.RemoteFactor)
+	}
 	if s.MaxWaiting < 1 {
 		return errors.Newf("MaxWaiting: got %d, expected at least 1", s.MaxWaiting)
 	}
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -32,7 +32,7 @@
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: record.State})
 		return
 	}
-	j := newJob(definition, queue, d.now.Add(-call.Age))
+	j := newJob(definition, queue, d.now.Add(-call.Age), d.pool(queue.Pool).estimates.QueueFactor(queue.Name))
 	j.zone = call.Zone
 	if reply, refused := d.refusal(j); refused {
 		d.emit(LogEvent{Event: "JobRefused", Job: id, Queue: queue.Name, Detail: reply.Detail, Count: d.waitingTasks})
--- a/controller/dispatcher/task.go
+++ b/controller/dispatcher/task.go
@@ -24,6 +24,7 @@
 	queuedAs      uint64   // sequence number among the waiting tasks; 0 while it does not wait
 	pool          *pool    // where it waits or waited last
 	kind          *sharer.Kind[readyTask]
+	rack          *group              // workers near its data; nil for none
 	work          float64             // core-seconds by its estimate
 	place         sharer.BacklogPlace // where the backlog of its kind counts it, unless it is late
 	passedAt      uint64              // placement of the pool that found no room for it
--- a/controller/dispatcher/timer.go
+++ b/controller/dispatcher/timer.go
@@ -9,6 +9,7 @@
 	agent     *agent
 	run       *run
 	returning *agent // agent at which tasks may be started again
+	review    *pool  // pool whose waiting tasks a placement looks at again
 }
 
 func earlier(a, b timer) bool { return a.at.Before(b.at) }
--- a/controller/dispatcher/waiting.go
+++ b/controller/dispatcher/waiting.go
@@ -55,10 +55,18 @@
 	if t.queuedAs != 0 || t.job.ended || t.job.cancelled {
 		return
 	}
+	step := t.step()
 	t.pool = d.pool(t.job.queue.Pool)
 	t.kind = t.pool.waiting.Kind(t.job.Queue, weight(t.job.queue))
 	t.work = t.coreSeconds()
 	t.kind.Count++
+	if t.rack = nil; t.job.Transient { // a rack is reserved for tasks that wait for a bounded time
+		t.rack = t.pool.rackOf(step)
+	}
+	t.rack.wait(step.Resources.MilliCores)
+	if t.rack != nil {
+		t.rack.demand.Add(d.now, t.work)
+	}
 	d.waitingTasks++
 	d.push(t)
 }
@@ -97,6 +105,7 @@
 	t.queuedAs = 0
 	d.removeWork(t)
 	t.kind.Count--
+	t.rack.wait(-t.step().Resources.MilliCores)
 	d.waitingTasks--
 	if t.kind.Len() > maxVoidEntries && t.kind.Len() > 2*t.kind.Count {
 		t.kind.Filter(readyTask.valid)
--- a/dispatch/placer/index.go
+++ b/dispatch/placer/index.go
@@ -29,12 +29,18 @@
 		x.Remove(p)
 	}
 	p.class, p.score, p.member.Item = class, pace, p
-	if capacity > 0 {
-		p.score += useWeight * (1 - float64(free)/float64(capacity))
-	}
+	p.score += UseScore(free, capacity)
 	x.classes[class].Set(&p.member, x.level(free))
 }
 
+// UseScore returns the pace that a worker loses in a choice by its use, with the given free part of its capacity.
+func UseScore(free, capacity int) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return useWeight * (1 - float64(free)/float64(capacity))
+}
+
 // Remove removes a worker if it is in the index.
 func (x *Index[W]) Remove(p *Place[W]) { x.classes[p.class].Remove(&p.member) }
 
@@ -50,11 +56,15 @@
 }
 
 // Choose compares the emptiest workers of all groups that may have need free, and returns the one with the lowest sum of pace, use
-// and penalty, or false if there is none. The caller's penalty reports with false a worker that can't be chosen.
+// and penalty, or false if there is none. The caller's penalty is at least 0 and reports with false a worker that can't be chosen.
+// Groups whose fastest worker could not be better are not looked at.
 func (x *Index[W]) Choose(need int, penalty func(W) (float64, bool)) (W, bool) {
 	var best W
 	bestScore, found := 0.0, false
 	for class := range x.classes {
+		if found && class > 0 && firstPace+float64(class)*classWidth >= bestScore {
+			break
+		}
 		candidate, score, ok := x.first(class, need, penalty)
 		if ok && (!found || score < bestScore) {
 			best, bestScore, found = candidate, score, true
--- a/dispatch/placer/index_test.go
+++ b/dispatch/placer/index_test.go
@@ -64,6 +64,31 @@
 	})
 }
 
+// Guards against a group that is left out although it has the best worker.
+func TestChooseLooksAtEveryGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "workers")
+		penalties, paces, rooms := make(map[string]float64), []float64(nil), []int(nil)
+		for worker := range count {
+			// One worker for each group and level, since a choice looks at the emptiest ones of a group only.
+			paces, rooms = append(paces, firstPace+classWidth*(float64(worker)+0.5)), append(rooms, rapid.IntRange(0, 1000).Draw(t, "room"))
+			penalties[fmt.Sprint(worker)] = rapid.Float64Range(0, 2).Draw(t, "penalty")
+		}
+		x, places := newIndex(paces, rooms)
+		best := -1.0
+		for _, p := range places {
+			if score := p.score + penalties[p.Worker]; best < 0 || score < best {
+				best = score
+			}
+		}
+		chosen, ok := x.Choose(0, func(worker string) (float64, bool) { return penalties[worker], true })
+		must.True(t, ok)
+		var at int
+		fmt.Sscan(chosen, &at)
+		must.InDelta(t, best, places[at].score+penalties[chosen], 1e-9)
+	})
+}
+
 // Guards against a choice that finds no worker although one has clearly enough free.
 func TestChooseFindsRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/local/loadplayer/player.go
+++ b/local/loadplayer/player.go
@@ -10,6 +10,7 @@
 	"oleandertally/controller/dispatcher"
 	"oleandertally/core/container"
 	"oleandertally/core/specifier"
+	"oleandertally/dispatch/estimator"
 	"oleandertally/state/jobrecorder"
 )
 
@@ -29,9 +30,11 @@
 
 // Player plays a scenario. Exported fields are set before Run.
 type Player struct {
-	Scenario Scenario
-	Seed     uint64
-	Settings dispatcher.Settings
+	Scenario    Scenario
+	Seed        uint64
+	Settings    dispatcher.Settings
+	KnowsSpeeds bool // the dispatcher knows the speeds of the workers and the mean error of each kind's estimates
+	KnowsTimes  bool // the estimates are exact
 
 	dispatcher *dispatcher.Dispatcher
 	random     *rand.Rand
@@ -92,9 +95,15 @@
 		manifest.Queues = append(manifest.Queues, specifier.Queue{Name: kind.Name, Host: "h", Prefix: "/" + kind.Name + "/", Pool: pool,
 			Priority: kind.Priority, MaxAttempts: 3, Stretch: kind.Stretch, Target: kind.Target})
 	}
+	if p.Scenario.Uneven.RemoteFactor > 0 {
+		p.Settings.RemoteFactor = p.Scenario.Uneven.RemoteFactor
+	}
 	always := func() bool { return true }
 	p.dispatcher = &dispatcher.Dispatcher{Recorder: jobrecorder.New(time.Minute), Settings: p.Settings,
 		Leading: func(time.Time) bool { return true }, EnoughVoters: always}
+	if p.KnowsSpeeds {
+		p.dispatcher.NewEstimates = func() estimator.Policy[string, string] { return known{p} }
+	}
 	p.step(dispatcher.BecameLeader{Term: 1})
 	p.step(dispatcher.Applied{Command: specifier.QueueCommand{Manifest: manifest}})
 	for zone := range p.Scenario.Zones {
--- a/local/loadplayer/report.go
+++ b/local/loadplayer/report.go
@@ -42,6 +42,15 @@
 	return total / float64(len(r.Kinds))
 }
 
+// InTime returns the mean over the kinds of the share that was answered within the objective.
+func (r Report) InTime() float64 {
+	total := 0.0
+	for _, each := range r.Kinds {
+		total += each.WeightInTime / max(each.Weight, 1)
+	}
+	return total / float64(len(r.Kinds))
+}
+
 // WorstKind returns the share of the kind that is served worst.
 func (r Report) WorstKind() float64 {
 	worst := 1.0
@@ -73,8 +82,8 @@
 
 // Print writes the report as a table.
 func (r Report) Print(out io.Writer) error {
-	fmt.Fprintf(out, "%s, seed %d: share %.3f, worst windows %.3f, worst kind %.3f, %.0f of %.0f core-seconds wasted\n",
-		r.Scenario, r.Seed, r.Share(), r.WorstWindow, r.WorstKind(), r.Wasted, r.Worked)
+	fmt.Fprintf(out, "%s, seed %d: share %.3f, in time %.3f, worst windows %.3f, worst kind %.3f, %.0f of %.0f core-seconds wasted\n",
+		r.Scenario, r.Seed, r.Share(), r.InTime(), r.WorstWindow, r.WorstKind(), r.Wasted, r.Worked)
 	fmt.Fprintf(out, "earned %.3f and %.3f in the worst windows; with everything known at most %.3f and %.3f\n", r.Earned(), r.WorstWindow, r.Bound, r.BoundWorstWindow)
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "\tasked\tin time\tlate\trefused early\trefused late\twith workers free\tfailed\tunanswered\tshare\t")
--- a/local/loadplayer/request.go
+++ b/local/loadplayer/request.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -20,6 +21,7 @@
 	resources specifier.Resources
 	objective time.Duration // time within which the answer is in time
 	weight    float64       // relative to the mean job of its kind
+	rack      string        // location of the data; empty for none
 	answered  bool
 	worked    float64 // core-seconds that workers have spent on it
 }
@@ -67,7 +69,8 @@
 
 // job returns the definition that the caller submits.
 func (r *request) job() specifier.QueuedJob {
-	return specifier.QueuedJob{Transient: true, Steps: []specifier.Step{{Count: len(r.runTimes), Resources: r.resources, Estimate: max(r.estimate, time.Millisecond)}}}
+	return specifier.QueuedJob{Transient: true, Steps: []specifier.Step{{Count: len(r.runTimes), Resources: r.resources, Estimate: max(r.estimate, time.Millisecond),
+		DataRack: r.rack}}}
 }
 
 // coreSeconds returns the work of a request on workers of speed 1.
@@ -78,3 +81,6 @@
 	}
 	return total * float64(r.resources.MilliCores) / 1000
 }
+
+// longest returns the run time of the longest task on a worker of speed 1.
+func (r *request) longest() time.Duration { return slices.Max(r.runTimes) }
--- a/local/loadplayer/requests.go
+++ b/local/loadplayer/requests.go
@@ -41,6 +41,10 @@
 	for range p.poisson(rate * arrivalSteps.Seconds()) {
 		q := draw(p.random, number, kind)
 		q.zone = zone
+		p.Scenario.Uneven.change(p.random, q, kind, p.Scenario.Workers)
+		if p.KnowsTimes {
+			q.estimate = q.longest()
+		}
 		if p.Scenario.ByWork {
 			q.weight = q.coreSeconds()
 		}
--- a/local/loadplayer/result.go
+++ b/local/loadplayer/result.go
@@ -15,6 +15,7 @@
 	Unanswered   int
 	Weight       float64
 	Busy         float64 // mean share of the workers' cores in use, for a window
+	WeightInTime float64 // weight of the answers in time
 	Earned       float64 // weight of the answers in time, and a fifth of that of late ones
 }
 
@@ -36,6 +37,7 @@
 	switch {
 	case got == outcomeDone && took <= q.objective:
 		r.InTime++
+		r.WeightInTime += weight
 		r.Earned += weight
 	case got == outcomeDone:
 		r.Late++
--- a/local/loadplayer/scenario.go
+++ b/local/loadplayer/scenario.go
@@ -21,6 +21,7 @@
 	Zones      int           // number of callers' zones, each with an equal part of the demand and a wave of its own; 0 for one without a name
 	Delay      time.Duration // each zone's callers are farther from the controllers than those of the zone before, one way
 	ByWork     bool          // a job is worth its core-seconds; otherwise all kinds are worth the same
+	Uneven     Uneven
 }
 
 // Check returns an error that names the first field that is out of range.
@@ -89,7 +90,7 @@
 	// One zone, so that the demand falls to a third of its peak, at second 10.
 	falling := narrow
 	falling.Zones, falling.Wave.Phase = 1, 0
-	return []Scenario{
+	return append([]Scenario{
 		with(wide, "wide-lost", []Burst{{Kind: "quote", At: time.Second, For: 5 * time.Second, Factor: 1.6}}, lost),
 		with(wide, "wide-zones", []Burst{{At: time.Second, For: 4 * time.Second, Factor: 1.5}}),
 		with(wide, "wide-zone-burst", []Burst{{Zone: "zone 1", At: time.Second, For: 5 * time.Second, Factor: 3}}),
@@ -107,7 +108,7 @@
 		with(large, "large-crest", crest),
 		with(large, "large-cut", crest, cut),
 		with(large, "large-slow", crest, slow, hanging),
-	}
+	}, unevenScenarios()...)
 }
 
 // Named returns the scenario of that name.
--- a/local/loadplayer/worker.go
+++ b/local/loadplayer/worker.go
@@ -13,6 +13,7 @@
 	stream   dispatcher.Stream
 	capacity specifier.Resources
 	speed    float64
+	rack     string   // empty for none
 	fault    *Fault   // the fault in force
 	faults   []*Fault // all faults of the scenario that it has
 	runs     map[specifier.RunKey]*run
@@ -32,6 +33,9 @@
 	report := specifier.LeaseReport{Agent: w.name, Incarnation: 1, Renewal: w.renewal, LastOrder: w.orders, AllRunsKnown: true, Token: w.token,
 		RunsComplete: true, Ends: w.ends,
 		Worker: &specifier.LeasedWorker{ID: w.name, StartedAt: time.Unix(1, 0), Pool: pool, Capacity: w.capacity}}
+	if w.rack != "" {
+		report.Worker.Labels = []string{w.rack}
+	}
 	for key, each := range w.runs {
 		report.Runs = append(report.Runs, specifier.LeasedRun{Key: key, Resources: each.request.resources})
 	}
--- a/local/loadplayer/workers.go
+++ b/local/loadplayer/workers.go
@@ -20,10 +20,10 @@
 }
 
 func (p *Player) addWorkers() {
-	speeds := []float64{0.8, 1, 1.25}
+	speeds := p.Scenario.Uneven.speeds()
 	for number := range p.Scenario.Workers {
 		w := &worker{name: fmt.Sprintf("worker-%03d", number), runs: make(map[specifier.RunKey]*run), speed: speeds[p.random.IntN(len(speeds))],
-			capacity: specifier.Resources{MilliCores: p.Scenario.MilliCores, Memory: 1 << 20}}
+			rack: p.Scenario.Uneven.rack(number), capacity: specifier.Resources{MilliCores: p.Scenario.MilliCores, Memory: 1 << 20}}
 		if number%3 == 2 {
 			w.capacity.MilliCores += w.capacity.MilliCores / 2
 		}
@@ -140,6 +140,9 @@
 	if w.fault != nil && w.fault.Kind == Slow {
 		span *= w.fault.Factor
 	}
+	if each.request.rack != w.rack && each.request.rack != "" {
+		span *= p.Scenario.Uneven.RemoteFactor
+	}
 	return time.Duration(span)
 }
 
