--- a/controller/dispatcher/choice.go
+++ b/controller/dispatcher/choice.go
@@ -17,6 +17,10 @@
 	// hotPenalty is the pace that a worker loses for tasks that could as well run elsewhere, when as much work arrives for the data near
 	// it as its rack can do.
 	hotPenalty = 1.0
+	// lateReview is how long a late task waits for the rack of its data until it is looked at again.
+	lateReview = 20 * time.Millisecond
+	// maxPaceLimit excludes no worker.
+	maxPaceLimit = 1e9
 	// avoidPenalty ranks the worker where a task last failed behind all others.
 	avoidPenalty = 100
 	// spareShare is the share of a pool's cores below which arriving work leaves room for runs away from their data, which cost more.
@@ -78,9 +82,6 @@
 	return max(float64(t.job.due.Sub(d.now))/float64(step.Estimate), slowPace*p.usualPace), reviewAt
 }
 
-// maxPaceLimit excludes no worker.
-const maxPaceLimit = 1e9
-
 // chooseIndexed chooses from an index. Workers that have become unavailable are removed until their next report.
 func (d *Dispatcher) chooseIndexed(p *pool, x *placer.Index[*agent], step *specifier.Step, penalty func(*agent) (float64, bool)) *agent {
 	for {
@@ -204,9 +205,6 @@
 	return choice{reviewAt: d.now.Add(lateReview)}
 }
 
-// lateReview is how long a late task waits for the rack of its data until it is looked at again.
-const lateReview = 20 * time.Millisecond
-
 // remoteFactor returns the factor of a run away from its data.
 func (d *Dispatcher) remoteFactor() float64 {
 	if d.Settings.RemoteFactor <= 1 {
@@ -246,6 +244,12 @@
 	return penalty, true
 }
 
+// canRun reports whether a worker may run a task of a step now.
+func (d *Dispatcher) canRun(a *agent, t *task, step *specifier.Step) bool {
+	return d.available(a) && step.Resources.Fits(a.free()) && (step.Label == "" || slices.Contains(a.worker.Labels, step.Label)) &&
+		(step.PerWorker == 0 || a.countRuns(t.job, t.stepNumber) < step.PerWorker)
+}
+
 // penalty returns what is against running a task at the worker, beside its pace and use. rest is the number of tasks of the step that
 // are not placed.
 func (a *agent) penalty(t *task, step *specifier.Step, rest int) float64 {
--- a/controller/dispatcher/group.go
+++ b/controller/dispatcher/group.go
@@ -22,12 +22,6 @@
 	passedAt uint64 // placement of the pool in which a task decided to wait for room there
 }
 
-// membership is an agent's place in a group.
-type membership struct {
-	group *group
-	place placer.Place[*agent]
-}
-
 const (
 	// maxScanned is the number of workers up to which a choice looks at each.
 	maxScanned = 16
@@ -100,19 +94,6 @@
 	return g != nil && slices.ContainsFunc(a.memberships, func(each *membership) bool { return each.group == g })
 }
 
-func (m *membership) unindex() {
-	if m.group.index != nil {
-		m.group.index.Remove(&m.place)
-	}
-}
-
-// reindex updates the place in the index.
-func (m *membership) reindex(a *agent) {
-	if m.group.index != nil {
-		m.group.index.Set(&m.place, a.pace, a.free().MilliCores, a.worker.Capacity.MilliCores)
-	}
-}
-
 // workers returns the index of a group, which holds the agents that have a place in the index of the pool.
 func (d *Dispatcher) workers(g *group) *placer.Index[*agent] {
 	if g.index != nil {
@@ -175,12 +156,6 @@
 	a.endSum += sign * float64(r.resources.MilliCores) * float64(r.expectedEnd.UnixNano()-a.endBase) / 1e9
 }
 
-// canRun reports whether a worker may run a task of a step now.
-func (d *Dispatcher) canRun(a *agent, t *task, step *specifier.Step) bool {
-	return d.available(a) && step.Resources.Fits(a.free()) && (step.Label == "" || slices.Contains(a.worker.Labels, step.Label)) &&
-		(step.PerWorker == 0 || a.countRuns(t.job, t.stepNumber) < step.PerWorker)
-}
-
 // wait changes the need of the tasks that wait for the group, which may be nil.
 func (g *group) wait(milliCores int) {
 	if g != nil {
