Don't refuse a job that waits for its rack and can still run elsewhere in time

Cause: a quarter of its objective after its arrival, a job that waits is refused unless it is predicted to start soon. A task that waits by choice for the rack of its data counted its own work as work before it, so that it was refused in a pool of 8 cores although 4 of them were free elsewhere and its next look was due in time. Change: a choice tells whether a worker away from the data has room and the task would end in time there. A job with room for all of its tasks, counting such workers, is neither refused on arrival nor at the quarter. Shown by TestRemoteData/"a task that waits for its rack is looked at again in time".

--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -40,7 +40,8 @@
 }
 
 // fitsNow reports whether the workers have room for all tasks of the job that do not wait for another step: a worker for a task of each
-// step, and as many free cores as all of them need.
+// step, and as many free cores as all of them need. A task that waits for the rack of its data has room at a worker away from it, if it
+// would end in time there.
 func (d *Dispatcher) fitsNow(p *pool, j *job) bool {
 	free := d.cores(p) - p.waiting.InUse()
 	for number, step := range j.Steps {
@@ -50,7 +51,7 @@
 		if free -= float64(step.Count*step.Resources.MilliCores) / 1000; free < 0 && step.Count > 1 {
 			return false
 		}
-		if a := d.choose(p, j.tasks[number][0]); a == nil {
+		if chosen := d.decide(p, j.tasks[number][0]); chosen.agent == nil && !chosen.away {
 			return false
 		}
 	}
@@ -83,6 +84,9 @@
 	if !d.recoveryUntil.IsZero() || d.cores(p) == 0 {
 		return false // it is not known when tasks can start again
 	}
+	if d.fitsNow(p, j) {
+		return false // it waits for the rack of its data
+	}
 	demand := d.demand(p, j)
 	demand.Work = 0 // it is part of the waiting work
 	return !admitter.MayStillEnd(demand)
--- a/controller/dispatcher/choice.go
+++ b/controller/dispatcher/choice.go
@@ -39,6 +39,7 @@
 	agent    *agent
 	reviewAt time.Time
 	queued   bool // the task waits for the rack of its data, in turn
+	away     bool // a worker away from its data has room, and the task would end in time there
 	faster   bool // the task waits for a faster worker
 }
 
@@ -197,7 +198,7 @@
 	case spare && farRun <= wait+nearRun:
 		return choice{agent: far}
 	case wait+withMargin(nearRun) <= left:
-		return choice{reviewAt: t.job.due.Add(-wait - withMargin(nearRun) + time.Millisecond), queued: true}
+		return choice{reviewAt: t.job.due.Add(-wait - withMargin(nearRun) + time.Millisecond), queued: true, away: farRun <= left}
 	case farRun <= left:
 		return choice{agent: far}
 	case nearRun <= left:
