Let a caller keep most of its time when there is no leader

Cause: without a leader a job of 0.2 s was held for 0.8 s of the 1.5 s for which its caller waits, and then refused.

The wait is now at most two fifths of the caller's time. TestWithoutALeader has the case; it failed before.

--- a/entry/requester/wait.go
+++ b/entry/requester/wait.go
@@ -15,18 +15,22 @@
 	// minUsefulWait, in which most leaders are replaced.
 	usefulFactor  = 4
 	minUsefulWait = 400 * time.Millisecond
+	// maxWaitShare bounds the wait by a share of the time for which the caller waits, so that one who is refused has the larger part left for
+	// another attempt.
+	maxWaitShare = 0.4
 	// maxLeaderWait bounds the wait of long jobs. A site that has no leader for longer has lost most of its controllers.
 	maxLeaderWait = 5 * time.Second
 )
 
 // waitUntil returns how long a job that arrives now may wait for a leader. A transient job waits while it can still end before its caller
-// leaves and while its end is of use, regardless of how long there has been no leader: one may be elected at any moment. A time that has
+// leaves and while its end is of use, but not for most of the time that its caller has, regardless of how long there has been no leader: one may be elected at any moment. A time that has
 // passed refuses the job at once. A kept job waits for leaderTimeout, since its caller only waits until it is recorded.
 func waitUntil(job specifier.QueuedJob, now, deadline time.Time) time.Time {
 	if !job.Transient {
 		return now.Add(leaderTimeout)
 	}
 	ideal := job.IdealRunTime()
-	useful := min(max(usefulFactor*ideal, minUsefulWait), maxLeaderWait)
-	return now.Add(min(useful, deadline.Sub(now)-ideal-ideal/waitMarginDivisor-waitMargin))
+	timeLeft := deadline.Sub(now)
+	useful := min(max(usefulFactor*ideal, minUsefulWait), maxLeaderWait, time.Duration(maxWaitShare*float64(timeLeft)))
+	return now.Add(min(useful, timeLeft-ideal-ideal/waitMarginDivisor-waitMargin))
 }
