--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -95,7 +95,7 @@
 		return true
 	}
 	p := d.pool(j.queue.Pool)
-	if p.setAside(j) {
+	if p.hasAside(j) {
 		return true
 	}
 	if j.held && d.now.After(d.leadingSince.Add(listTime)) {
--- a/controller/dispatcher/report.go
+++ b/controller/dispatcher/report.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"oleandertally/core/specifier"
@@ -97,38 +96,6 @@
 	return a
 }
 
-// updateWorker stores a worker's description of itself. A new incarnation of a worker has no health yet.
-func (d *Dispatcher) updateWorker(a *agent, worker *specifier.LeasedWorker) {
-	if a.worker == nil || a.worker.ID != worker.ID || !a.worker.StartedAt.Equal(worker.StartedAt) {
-		a.health = health{}
-		if a.pool != nil {
-			a.pool.estimates.Forget(a.name)
-		}
-		if a.worker != nil {
-			a.settled = false // stays false until the agent has fenced off the orders to the former incarnation
-		}
-		d.emit(LogEvent{Event: "WorkerSeen", Agent: a.name, Detail: worker.ID})
-	}
-	if a.worker != nil && !a.worker.Draining && worker.Draining {
-		d.emit(LogEvent{Event: "WorkerDraining", Agent: a.name, Detail: worker.ID})
-		d.surveyAt = d.now
-	}
-	changed := a.worker == nil || a.worker.Capacity != worker.Capacity || !slices.Equal(a.worker.Labels, worker.Labels) || a.worker.Draining != worker.Draining
-	relabelled := a.worker == nil || a.pool == nil || a.pool.name != worker.Pool || !slices.Equal(a.worker.Labels, worker.Labels)
-	if relabelled {
-		a.indexedFree = 0 // tasks that could not run there may now
-	}
-	a.worker, a.coldUntil = worker, d.now.Add(worker.ColdFor)
-	changed = changed || a.pool != d.pool(worker.Pool)
-	d.joinPool(a, d.pool(worker.Pool))
-	if relabelled {
-		d.joinGroups(a)
-	}
-	if changed {
-		d.requeueAside(a.pool)
-	}
-}
-
 func (d *Dispatcher) agentDisconnected(stream Stream) {
 	a := d.streams[stream]
 	if a == nil {
--- a/controller/dispatcher/unplaceable.go
+++ b/controller/dispatcher/unplaceable.go
@@ -24,15 +24,15 @@
 // may join.
 func (d *Dispatcher) setAside(t *task) {
 	d.dequeue(t)
-	if !t.pool.setAside(t.job) {
+	if !t.pool.hasAside(t.job) {
 		d.emit(LogEvent{Event: "WorkCannotRun", Job: t.job.ID, Queue: t.job.Queue, Task: t.name, Count: t.job.remaining, Detail: unplaceableDetail})
 	}
 	t.aside = true
 	t.pool.aside = append(t.pool.aside, t)
 }
 
-// setAside reports whether a task of the job is set aside.
-func (p *pool) setAside(j *job) bool {
+// hasAside reports whether a task of the job is set aside.
+func (p *pool) hasAside(j *job) bool {
 	return slices.ContainsFunc(p.aside, func(t *task) bool { return t.job == j })
 }
 
--- a/controller/server/pause_test.go
+++ b/controller/server/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"oleandertally/core/looper"
 )
 
 // electionRounds is the number of rounds of an operator's client that outlast an election.
@@ -10,12 +12,6 @@
 
 // pause waits, or returns the context's error.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	looper.Pause(ctx, d)
+	return ctx.Err()
 }
--- a/dispatch/sharer/backlog.go
+++ b/dispatch/sharer/backlog.go
@@ -19,12 +19,6 @@
 	distant float64               // work that was added more than all steps ahead
 }
 
-// BacklogPlace is where a Backlog counts a piece of work.
-type BacklogPlace int64
-
-// distantPlace is the place of work that was added more than all steps ahead.
-const distantPlace = BacklogPlace(1<<63 - 1)
-
 func stepNumber(at time.Time) int64 { return at.UnixNano() / int64(backlogStep) }
 
 // Add adds work that should start by a time, and returns its place.
