--- a/core/exporter/queues.go
+++ b/core/exporter/queues.go
@@ -64,7 +64,7 @@
 }
 
 // waitingReasons are the label values for what waiting tasks wait for.
-var waitingReasons = []string{"Room", "Evacuated"}
+var waitingReasons = []string{"Room", "NoWorker", "Evacuated"}
 
 // SetWaiting reports how many tasks of a queue wait for a reason. The queues are those of the manifest, which bounds their number.
 func (q *Queues) SetWaiting(queue, reason string, tasks int) {
