core/relayer: start the watch of a connection before the client is answered

Cause: the relay answered 200 and read its clock only then. A stall of the process between the two was not noticed, so bytes from before the stall were passed on. Change: the clock is read and the watch made before the answer is written.

--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -132,14 +132,15 @@
 	if err != nil {
 		return errors.Wrap(err, "relayer: read what the client sent early")
 	}
+	began, bytes := r.Clock(), counter{meter: r.Meter}
+	// The watch starts before the client may send, so that a stall right after the answer is noticed too.
+	tunnel := &tunnel{client: client, target: conn, clock: r.Clock, watch: newWatch(began), bucket: &r.bucket, copied: bytes.add}
 	if _, err := client.Write([]byte(established)); err != nil {
 		return errors.Wrap(err, "relayer: answer the client")
 	}
 	r.Meter.Opened()
 	defer r.Meter.Closed()
-	began, bytes := r.Clock(), counter{meter: r.Meter}
 	r.event("RelayOpened", request, target).Send()
-	tunnel := &tunnel{client: client, target: conn, clock: r.Clock, watch: newWatch(began), bucket: &r.bucket, copied: bytes.add}
 	cause := tunnel.run(request.Context(), early)
 	r.event("RelayClosed", request, target).Dur("AgeMillis", r.Clock().Sub(began)).Int64("Bytes", bytes.total.Load()).AnErr("Cause", cause).Send()
 	return nil
--- a/core/relayer/relayer_test.go
+++ b/core/relayer/relayer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -217,6 +218,20 @@
 		must.NoError(t, err)
 		mustEnd(t, target, "")
 	})
+	t.Run("the clock is read before the client may send", func(t *testing.T) {
+		// Guards against a stall right after the answer that is not noticed, because the watch starts behind it.
+		f := newFixture(t)
+		conn, err := net.Dial("tcp", f.addr)
+		must.NoError(t, err)
+		defer conn.Close()
+		f.mutex.Lock() // blocks the relay's clock
+		_, err = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: x\r\n\r\n", f.target.Addr())
+		must.NoError(t, err)
+		must.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err = conn.Read(make([]byte, 1))
+		f.mutex.Unlock()
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	})
 	t.Run("a controller that stops reading ends its own connection only", func(t *testing.T) {
 		// Guards against a frozen leader that blocks the clients of other controllers.
 		f := newFixture(t)
