--- a/review/harness-2/caller.go
+++ b/review/harness-2/caller.go
@@ -104,7 +104,7 @@
 	}
 	time.Sleep(4 * time.Second) // traffic starts after the machines
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		body := `{"specification":"ms=50","bestEffort":true,"steps":[{"count":44,"cpu":4000,"memoryRequestMb":64,"estimatedMs":50}]}`
+		body := fmt.Sprintf(`{"specification":"ms=50","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memoryRequestMb":64,"estimatedMs":50}]}`, 4*workers, s.size.cpu/4)
 		s.client(http.MethodPost, host, prefix+newID(), body)
 		ready := 0
 		for _, each := range s.workers {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -21,16 +21,25 @@
 // caseLimit ends a case that takes too long.
 const caseLimit = 110 * time.Second
 
-// cases are the functions that play a case, by name. Each returns what broke the rule, or "" if the rule held.
-var cases = map[string]func(s *site, trouble bool) (string, error){
-	"gpu":       gpuCase,
-	"restarted": restartedCase,
-	"nested":    nestedCase,
-	"pending":   pendingCase,
+// testCase plays a case on workers of one size.
+type testCase struct {
+	// play returns what broke the rule, or "" if the rule held.
+	play func(s *site, trouble bool) (string, error)
+	size workerSize
+}
+
+// cases by name. "gpu" and "pending" have no folder; the report names them.
+var cases = map[string]testCase{
+	"queue":     {queueCase, smallWorkers},
+	"restarted": {restartedCase, smallWorkers},
+	"large":     {largeCase, largeWorkers},
+	"nested":    {nestedCase, smallWorkers},
+	"gpu":       {gpuCase, smallWorkers},
+	"pending":   {pendingCase, smallWorkers},
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness-2 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
@@ -38,7 +47,7 @@
 }
 
 func play(name, recordPath string, trouble bool) int {
-	s, err := newSite(recordPath)
+	s, err := newSite(recordPath, cases[name].size)
 	if s != nil {
 		defer s.close()
 	}
@@ -53,7 +62,7 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		broken, err := cases[name](s, trouble)
+		broken, err := cases[name].play(s, trouble)
 		done <- outcome{broken, err}
 	}()
 	var got outcome
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -31,8 +31,18 @@
 
 var zones = []string{"alajuela", "heredia", "cartago"}
 
+// workerSize is the capacity of each worker.
+type workerSize struct{ cpu, memory int } // thousandths of a core, MB
+
+// The sizes of the sheets of alisio-tally and eslabon-prod.
+var (
+	smallWorkers = workerSize{16000, 32768}
+	largeWorkers = workerSize{64000, 262144}
+)
+
 // site is the system and its stand-ins.
 type site struct {
+	size        workerSize
 	folder      string
 	record      *bufio.Writer
 	recordFile  *os.File
@@ -52,7 +62,7 @@
 	frontend, readiness, control, app, internal, metrics int
 }
 
-func newSite(recordPath string) (*site, error) {
+func newSite(recordPath string, size workerSize) (*site, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -62,7 +72,7 @@
 		os.RemoveAll(folder)
 		return nil, err
 	}
-	s := &site{folder: folder, recordFile: recordFile, record: bufio.NewWriter(recordFile), began: time.Now()}
+	s := &site{size: size, folder: folder, recordFile: recordFile, record: bufio.NewWriter(recordFile), began: time.Now()}
 	if err := s.choosePorts(); err != nil {
 		return s, err
 	}
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -102,7 +102,7 @@
 	for {
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8,
-			"state": "ready", "coldRemainingMs": 0, "capacity": map[string]int{"cpu": 16000, "memoryRequestMb": 32768, "gpu": w.gpus}, "labels": w.labels,
+			"state": "ready", "coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.site.size.cpu, "memoryRequestMb": w.site.size.memory, "gpu": w.gpus}, "labels": w.labels,
 			"clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli()})
 		request, _ := http.NewRequest(http.MethodPut, w.registry+"/-/instances/"+w.id, bytes.NewReader(body))
 		request.Header.Set("Content-Type", "application/json")
