--- a/review/harness-2/caller.go
+++ b/review/harness-2/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
@@ -120,3 +121,39 @@
 	}
 	return errors.New("not every worker runs tasks")
 }
+
+// callFor makes one call whose client waits for the given time.
+func (s *site) callFor(wait time.Duration, method, address, host, path, body string) answer {
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return answer{}
+	}
+	request.Host = host
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Oleandertally-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	client := &http.Client{Timeout: wait + time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{response.StatusCode, strings.TrimSpace(string(content))}
+}
+
+// followerMachine returns a frontend whose controller does not lead, by the logs of the controllers.
+func (s *site) followerMachine() (int, error) {
+	for i, each := range s.controllers {
+		log, err := os.ReadFile(each.log)
+		if err != nil {
+			return 0, err
+		}
+		if !strings.Contains(string(log), `"Event":"BecameLeader"`) {
+			return i, nil
+		}
+	}
+	return 0, errors.New("every controller has led")
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -28,7 +28,7 @@
 	size workerSize
 }
 
-// cases by name. "gpu" and "pending" have no folder; the report names them.
+// cases by name. "large" and "pending" have no folder; the report names them.
 var cases = map[string]testCase{
 	"queue":     {queueCase, smallWorkers},
 	"restarted": {restartedCase, smallWorkers},
@@ -36,6 +36,7 @@
 	"nested":    {nestedCase, smallWorkers},
 	"gpu":       {gpuCase, smallWorkers},
 	"pending":   {pendingCase, smallWorkers},
+	"revived":   {revivedCase, smallWorkers},
 }
 
 func main() {
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -27,6 +27,7 @@
 	holdMax       = 1000 * time.Millisecond // holdMaxMs
 	beatInterval  = 1500 * time.Millisecond // heartbeatIntervalMs
 	idleJobsBound = 3 * time.Second         // of the rule LOST: nothing runs although there is room
+	freezeTime    = 5 * time.Second         // of node_freeze in the site files
 )
 
 var zones = []string{"alajuela", "heredia", "cartago"}
