--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -28,8 +28,9 @@
 	size workerSize
 }
 
-// cases by name. "large" and "pending" have no folder; the report names them.
+// cases by name. "gpu", "large", "pending" and "revived" have no folder; the report names them.
 var cases = map[string]testCase{
+	"poison":    {poisonCase, smallWorkers},
 	"queue":     {queueCase, smallWorkers},
 	"restarted": {restartedCase, smallWorkers},
 	"large":     {largeCase, largeWorkers},
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -25,6 +25,7 @@
 	visibleBound  = 3 * time.Second         // visible_ms
 	finishBound   = 14 * time.Second        // finish_s
 	holdMax       = 1000 * time.Millisecond // holdMaxMs
+	drainTime     = 2 * time.Second         // drainMs
 	beatInterval  = 1500 * time.Millisecond // heartbeatIntervalMs
 	idleJobsBound = 3 * time.Second         // of the rule LOST: nothing runs although there is room
 	freezeTime    = 5 * time.Second         // of node_freeze in the site files
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -30,6 +30,8 @@
 	gpus     int
 	// unhealthy makes it answer each start with 503; it has then done nothing.
 	unhealthy atomic.Bool
+	// draining is what its status reports say.
+	draining atomic.Bool
 
 	id       string
 	born     time.Time
@@ -80,6 +82,22 @@
 	return nil
 }
 
+// replace lets the worker drain and leave, as planned, and begins its next life.
+func (w *worker) replace() error {
+	w.draining.Store(true)
+	time.Sleep(2*beatInterval + drainTime)
+	request, err := http.NewRequest(http.MethodDelete, w.registry+"/-/instances/"+w.id, nil)
+	if err != nil {
+		return err
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		response.Body.Close()
+	}
+	w.shut()
+	w.draining.Store(false)
+	return w.boot()
+}
+
 // shut ends the life of the worker without a word, as a crash does.
 func (w *worker) shut() {
 	if w.server == nil {
@@ -101,8 +119,12 @@
 	client := &http.Client{Timeout: time.Second}
 	for {
 		w.sequence++
+		state := "ready"
+		if w.draining.Load() {
+			state = "draining"
+		}
 		body, _ := json.Marshal(map[string]any{"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8,
-			"state": "ready", "coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.site.size.cpu, "memoryRequestMb": w.site.size.memory, "gpu": w.gpus}, "labels": w.labels,
+			"state": state, "coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.site.size.cpu, "memoryRequestMb": w.site.size.memory, "gpu": w.gpus}, "labels": w.labels,
 			"clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli()})
 		request, _ := http.NewRequest(http.MethodPut, w.registry+"/-/instances/"+w.id, bytes.NewReader(body))
 		request.Header.Set("Content-Type", "application/json")
