controller/dispatcher: log a call that is denied for a job of another queue

Change: the leader logs JobDenied with the queue that the path selects and the job's own queue. Calls for unknown jobs leave no line.

Before: TestDenialOfAKnownJobIsLogged/known failed (0 lines).

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -52,9 +52,9 @@
 	case specifier.SubmitQueued:
 		d.submit(from, event.Call, queue, id)
 	case specifier.QueryQueued:
-		d.queryState(from, queue, id)
+		d.queryState(from, event.Call, queue, id)
 	case specifier.CancelQueued:
-		d.cancel(from, queue, id)
+		d.cancel(from, event.Call, queue, id)
 	default:
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: fmt.Sprintf("unknown call %d", event.Call.Verb)})
 	}
@@ -83,8 +83,18 @@
 	d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, Document: manifest.Document})
 }
 
+// denyJob replies that the queue that the path selects has no such job. The log tells a path that names a job of another queue from one
+// that names no job.
+func (d *Dispatcher) denyJob(from waiter, call specifier.QueueCall, queue specifier.Queue) {
+	id := path.Base(call.Path)
+	if record := d.Recorder.Job(id); record != nil {
+		d.emit(LogEvent{Event: "JobDenied", Job: id, Queue: queue.Name, Detail: "a job of this ID is recorded for the queue " + record.Job.Queue})
+	}
+	d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
+}
+
 // queryState replies with the state of a job, or without an ID with the number of jobs of the queue that have not started.
-func (d *Dispatcher) queryState(from waiter, queue specifier.Queue, id string) {
+func (d *Dispatcher) queryState(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
 	if id == "" {
 		pending := 0
 		for _, j := range d.jobs {
@@ -97,7 +107,7 @@
 	}
 	record := d.Recorder.Job(id)
 	if record == nil || !record.Job.BelongsTo(queue) {
-		d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
+		d.denyJob(from, call, queue)
 		return
 	}
 	state := record.State
@@ -122,12 +132,12 @@
 }
 
 // cancel cancels a transient job immediately. The cancellation of a recorded job is proposed, and the reply follows when it is committed.
-func (d *Dispatcher) cancel(from waiter, queue specifier.Queue, id string) {
+func (d *Dispatcher) cancel(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
 	record, j := d.Recorder.Job(id), d.jobs[id]
 	known := record != nil && record.Job.BelongsTo(queue) || j != nil && j.BelongsTo(queue)
 	switch {
 	case !known:
-		d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
+		d.denyJob(from, call, queue)
 	case j != nil && j.Transient:
 		d.stopRuns(j)
 		d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobCancelled})
--- a/controller/dispatcher/removedqueue_test.go
+++ b/controller/dispatcher/removedqueue_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +91,18 @@
 		must.SliceEmpty(t, f.stops())
 	})
 }
+
+// Guards against a denial of a known job that the log can't tell from the denial of an unknown one.
+func TestDenialOfAKnownJobIsLogged(t *testing.T) {
+	denials := func(t *testing.T, id string) int {
+		f := newFixture(t, 1)
+		f.submit("a", 1, false)
+		f.manifest(2, specifier.Queue{Name: "outer", Host: "h", Prefix: "/", Pool: "p"})
+		f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.QueryQueued, Host: "h", Path: "/other/" + id}})
+		f.mustReply(specifier.JobNotFound)
+		logged := slices.DeleteFunc(find[LogEvent](f.actions), func(event LogEvent) bool { return event.Event != "JobDenied" })
+		return len(logged)
+	}
+	t.Run("known", func(t *testing.T) { must.Eq(t, 1, denials(t, "a")) })
+	t.Run("unknown", func(t *testing.T) { must.Eq(t, 0, denials(t, "b")) })
+}
