controller/dispatcher: find a job by the path that it was submitted to

Seen by callers: a queue is removed whose prefix continues that of another queue. A GET for an accepted job that runs is answered 410.

Cause: the leader resolved a call's path to a queue of the manifest in force first and looked for the job within that queue. The path still matched the shorter prefix. The lookup by the path of submission ran only for a DELETE that no queue's prefix matched.

Seven of the eight subtests of TestPathTakenOverByAnotherQueue failed before the change.

Change: target.go resolves a call to a queue and a job; the job that was submitted to the path goes before the ID within the selected queue.

All tests of controller passed.

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -40,21 +40,21 @@
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: time.Second, Detail: "there is no manifest yet"})
 		return
 	}
-	queue, id, found := d.Recorder.Manifest().QueueForPath(event.Call.Host, event.Call.Path)
-	if !found && event.Call.Verb == specifier.CancelQueued && d.cancelInRemovedQueue(from, event.Call) {
+	t := d.resolve(event.Call)
+	if !t.found && event.Call.Verb == specifier.CancelQueued && d.cancelInRemovedQueue(from, event.Call) {
 		return
 	}
-	if !found {
+	if !t.found {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueNotFound, Detail: "no such queue"})
 		return
 	}
 	switch event.Call.Verb {
 	case specifier.SubmitQueued:
-		d.submit(from, event.Call, queue, id)
+		d.submit(from, event.Call, t.queue, t.id)
 	case specifier.QueryQueued:
-		d.queryState(from, event.Call, queue, id)
+		d.query(from, event.Call, t)
 	case specifier.CancelQueued:
-		d.cancel(from, event.Call, queue, id)
+		d.cancel(from, event.Call, t)
 	default:
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: fmt.Sprintf("unknown call %d", event.Call.Verb)})
 	}
@@ -93,28 +93,35 @@
 	d.reply(from, specifier.QueueReply{Result: specifier.JobNotFound, Detail: "no such job"})
 }
 
-// queryState replies with the state of a job, or without an ID with the number of jobs of the queue that have not started.
-func (d *Dispatcher) queryState(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
-	if id == "" {
-		pending := 0
-		for _, j := range d.jobs {
-			if j.recorded && !j.ended && !j.started && j.Queue == queue.Name {
-				pending++
-			}
-		}
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, Pending: pending, HasPending: true})
-		return
+// query replies with the state of a job, or for a path that is a queue's prefix with the number of the queue's jobs that have not started.
+func (d *Dispatcher) query(from waiter, call specifier.QueueCall, t target) {
+	switch {
+	case t.id == "":
+		d.countPending(from, t.queue)
+	case t.record == nil:
+		d.denyJob(from, call, t.queue)
+	default:
+		d.queryState(from, t)
 	}
-	record := d.Recorder.Job(id)
-	if record == nil || !record.Job.BelongsTo(queue) {
-		d.denyJob(from, call, queue)
-		return
+}
+
+func (d *Dispatcher) countPending(from waiter, queue specifier.Queue) {
+	pending := 0
+	for _, j := range d.jobs {
+		if j.recorded && !j.ended && !j.started && j.Queue == queue.Name {
+			pending++
+		}
 	}
-	state := record.State
-	if j := d.jobs[id]; j != nil && state == specifier.JobQueued && j.started {
+	d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, Pending: pending, HasPending: true})
+}
+
+// queryState replies with the state of a recorded job, after queryTimeout if the job may end at any moment.
+func (d *Dispatcher) queryState(from waiter, t target) {
+	state, j := t.record.State, t.job
+	if j != nil && state == specifier.JobQueued && j.started {
 		state = specifier.JobRunning
 	}
-	if j := d.jobs[id]; j != nil && !state.Ended() && j.mayEnd() {
+	if j != nil && !state.Ended() && j.mayEnd() {
 		until := d.now.Add(queryTimeout)
 		j.watchers = append(j.watchers, watcher{from: from, until: until})
 		d.wake(until, timer{job: j})
@@ -132,12 +139,11 @@
 }
 
 // cancel cancels a transient job immediately. The cancellation of a recorded job is proposed, and the reply follows when it is committed.
-func (d *Dispatcher) cancel(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
-	record, j := d.Recorder.Job(id), d.jobs[id]
-	known := record != nil && record.Job.BelongsTo(queue) || j != nil && j.BelongsTo(queue)
+func (d *Dispatcher) cancel(from waiter, call specifier.QueueCall, t target) {
+	record, j := t.record, t.job
 	switch {
-	case !known:
-		d.denyJob(from, call, queue)
+	case !t.knowsJob():
+		d.denyJob(from, call, t.queue)
 	case j != nil && j.Transient:
 		d.stopRuns(j)
 		d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobCancelled})
--- /dev/null
+++ b/controller/dispatcher/pathtakenover_test.go
@@ -0,0 +1,112 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"oleandertally/core/specifier"
+)
+
+// innerPath is the path of job a in a queue whose prefix continues that of the fixture's queue.
+const innerPath = "/q/inner/a"
+
+func testQueue(name, prefix string) specifier.Queue {
+	return specifier.Queue{Name: name, Host: "h", Prefix: prefix, Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
+}
+
+// callAt sends a call for a path of the fixture's host.
+func (f *fixture) callAt(verb specifier.QueueVerb, path string) {
+	f.step(CallReceived{Stream: caller, Sequence: 97, Call: specifier.QueueCall{Verb: verb, Host: "h", Path: path}})
+}
+
+// newInnerJob returns a fixture whose only worker runs a task of each of the two steps' first, by a job at innerPath. The inner queue is
+// then removed, so that the path selects the outer queue.
+func newInnerJob(t *testing.T, transient bool) (*fixture, specifier.RunStart) {
+	f := newFixture(t, 1)
+	outer := testQueue("q", "/q/")
+	f.manifest(2, outer, testQueue("inner", "/q/inner/"))
+	f.step(CallReceived{Stream: caller, Sequence: 96, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: innerPath,
+		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{
+			{Count: 1, Resources: taskResources, Estimate: f.estimate}, {Count: 1, Resources: taskResources, Estimate: f.estimate, After: []int{0}}}}}})
+	must.SliceLen(t, 1, f.starts())
+	start := f.starts()[0]
+	f.manifest(3, outer)
+	return f, start
+}
+
+// mustStop requires that the run is stopped, and that nothing of its job starts once the run has ended.
+func (f *fixture) mustStop(start specifier.RunStart) {
+	f.t.Helper()
+	must.Eq(f.t, []specifier.RunKey{start.Key}, f.stops())
+	f.end(start, specifier.EndDone)
+	must.SliceEmpty(f.t, f.starts())
+}
+
+// Guards against an accepted job that is denied, or whose cancellation is acknowledged and not carried out, because another queue's
+// prefix matches its path.
+func TestPathTakenOverByAnotherQueue(t *testing.T) {
+	t.Run("query", func(t *testing.T) {
+		f, _ := newInnerJob(t, false)
+		f.callAt(specifier.QueryQueued, innerPath)
+		must.Eq(t, specifier.JobRunning, f.mustReply(specifier.QueueOK).State)
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		f, start := newInnerJob(t, false)
+		f.callAt(specifier.CancelQueued, innerPath)
+		must.Eq(t, specifier.JobCancelled, f.mustReply(specifier.QueueOK).State)
+		f.mustStop(start)
+	})
+	t.Run("cancelled, transient", func(t *testing.T) {
+		f, start := newInnerJob(t, true)
+		f.callAt(specifier.CancelQueued, innerPath)
+		must.Len(t, 2, find[Reply](f.actions)) // to the submission and the cancellation
+		f.mustStop(start)
+	})
+	t.Run("cancelled under a new leader", func(t *testing.T) {
+		f, start := newInnerJob(t, false)
+		f.step(BecameFollower{})
+		f.step(BecameLeader{Term: 2})
+		f.callAt(specifier.CancelQueued, innerPath)
+		must.Eq(t, specifier.JobCancelled, f.mustReply(specifier.QueueOK).State)
+		f.attach(1)
+		must.SliceEmpty(t, f.starts())
+		f.end(start, specifier.EndDone)
+		must.SliceEmpty(t, f.starts())
+	})
+	t.Run("after its end", func(t *testing.T) {
+		f, _ := newInnerJob(t, false)
+		f.callAt(specifier.CancelQueued, innerPath)
+		f.callAt(specifier.QueryQueued, innerPath)
+		must.Eq(t, specifier.JobCancelled, f.mustReply(specifier.QueueOK).State)
+	})
+	t.Run("by a longer prefix without a slash", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("ab", 1, false)
+		start := f.starts()[0]
+		f.manifest(2, testQueue("q", "/q/"), testQueue("longer", "/q/a"))
+		f.callAt(specifier.CancelQueued, "/q/ab")
+		f.mustReply(specifier.QueueOK)
+		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
+	})
+	t.Run("by a queue that is the whole path", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("a", 1, false)
+		start := f.starts()[0]
+		f.manifest(2, testQueue("q", "/q/"), testQueue("whole", "/q/a"))
+		f.callAt(specifier.QueryQueued, "/q/a")
+		must.True(t, f.mustReply(specifier.QueueOK).HasPending)
+		f.callAt(specifier.CancelQueued, "/q/a")
+		f.mustReply(specifier.QueueOK)
+		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
+	})
+	t.Run("a path of no job", func(t *testing.T) { // guards against a job that is reached by an ID within another path
+		f, _ := newInnerJob(t, false)
+		for _, path := range []string{"/q/a", "/q/other/a", "/q/inner/b", "/q/inner/a/"} {
+			f.callAt(specifier.CancelQueued, path)
+			f.mustReply(specifier.JobNotFound)
+			must.SliceEmpty(t, f.stops())
+		}
+	})
+}
