controller/dispatcher: do not deny a known job that is submitted again after its queue was removed

Seen by callers: the answer to a submission is lost and the job runs. The operator removes its queue. The next attempt is answered 404, or 400 where the prefix of another queue matches the path, as if nothing had been accepted.

Change: a path that a known job was submitted to is a resubmission whatever the manifest defines. It joins the job if a queue matches the path. Otherwise it is answered QueueExpired (504 on the platform): a removed queue must not answer with success, and a denial is false. A new job is refused as before.

Found by reading, shown without processes only.

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -44,13 +44,13 @@
 	if !t.found && event.Call.Verb == specifier.CancelQueued && d.cancelInRemovedQueue(from, event.Call) {
 		return
 	}
-	if !t.found {
+	if !t.found && (event.Call.Verb != specifier.SubmitQueued || !t.knowsJob()) {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueNotFound, Detail: "no such queue"})
 		return
 	}
 	switch event.Call.Verb {
 	case specifier.SubmitQueued:
-		d.submit(from, event.Call, t.queue, t.id)
+		d.submit(from, event.Call, t)
 	case specifier.QueryQueued:
 		d.query(from, event.Call, t)
 	case specifier.CancelQueued:
--- a/controller/dispatcher/fixture_test.go
+++ b/controller/dispatcher/fixture_test.go
@@ -20,7 +20,9 @@
 	renewal uint64
 	// endNumber is that of the last end that agent 1 reported.
 	endNumber uint64
-	actions   []Action
+	// lastSubmission is the number of calls of submitAt.
+	lastSubmission uint64
+	actions        []Action
 	// estimate is the estimate of submitted tasks.
 	estimate time.Duration
 }
--- a/controller/dispatcher/pathtakenover_test.go
+++ b/controller/dispatcher/pathtakenover_test.go
@@ -21,15 +21,21 @@
 	f.step(CallReceived{Stream: caller, Sequence: 97, Call: specifier.QueueCall{Verb: verb, Host: "h", Path: path}})
 }
 
-// newInnerJob returns a fixture whose only worker runs a task of each of the two steps' first, by a job at innerPath. The inner queue is
-// then removed, so that the path selects the outer queue.
+// submitAt submits a job of two steps with one task each.
+func (f *fixture) submitAt(path string, transient bool) {
+	f.lastSubmission++
+	f.step(CallReceived{Stream: caller, Sequence: 100 + f.lastSubmission, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: path,
+		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{
+			{Count: 1, Resources: taskResources, Estimate: f.estimate}, {Count: 1, Resources: taskResources, Estimate: f.estimate, After: []int{0}}}}}})
+}
+
+// newInnerJob returns a fixture whose only worker runs the first task of a job at innerPath. The inner queue is then removed, so that
+// the path selects the outer queue.
 func newInnerJob(t *testing.T, transient bool) (*fixture, specifier.RunStart) {
 	f := newFixture(t, 1)
 	outer := testQueue("q", "/q/")
 	f.manifest(2, outer, testQueue("inner", "/q/inner/"))
-	f.step(CallReceived{Stream: caller, Sequence: 96, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: innerPath,
-		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{
-			{Count: 1, Resources: taskResources, Estimate: f.estimate}, {Count: 1, Resources: taskResources, Estimate: f.estimate, After: []int{0}}}}}})
+	f.submitAt(innerPath, transient)
 	must.SliceLen(t, 1, f.starts())
 	start := f.starts()[0]
 	f.manifest(3, outer)
@@ -110,3 +116,41 @@
 		}
 	})
 }
+
+// Guards against a job that runs while every attempt to submit it is rejected: the answer to the first one was lost, and its queue was
+// removed before the next.
+func TestSubmittedAgainAfterItsQueueWasRemoved(t *testing.T) {
+	t.Run("another queue's prefix matches", func(t *testing.T) {
+		f, _ := newInnerJob(t, false)
+		f.submitAt(innerPath, false)
+		f.mustReply(specifier.QueueOK)
+	})
+	t.Run("another queue's prefix matches, transient", func(t *testing.T) { // the attempt waits for the end of the job
+		f, _ := newInnerJob(t, true)
+		f.submitAt(innerPath, true)
+		must.SliceEmpty(t, find[Reply](f.actions))
+		f.callAt(specifier.CancelQueued, innerPath)
+		must.Len(t, 3, find[Reply](f.actions)) // to both submissions and the cancellation
+	})
+	t.Run("no queue's prefix matches", func(t *testing.T) {
+		f, _ := newInnerJob(t, false)
+		f.manifest(4)
+		f.submitAt(innerPath, false)
+		f.mustReply(specifier.QueueExpired)
+		must.SliceEmpty(t, f.starts())
+	})
+	t.Run("no queue's prefix matches, transient", func(t *testing.T) {
+		f, _ := newInnerJob(t, true)
+		f.manifest(4)
+		f.submitAt(innerPath, true)
+		f.mustReply(specifier.QueueExpired)
+	})
+	t.Run("a new job", func(t *testing.T) { // guards against a job that is accepted by a removed queue
+		f, _ := newInnerJob(t, false)
+		f.submitAt("/q/inner/b", false)
+		f.mustReply(specifier.QueueInvalid)
+		f.manifest(4)
+		f.submitAt("/q/inner/b", false)
+		f.mustReply(specifier.QueueNotFound)
+	})
+}
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -8,7 +8,12 @@
 )
 
 // submit accepts or refuses a job. A resubmission of a known job waits for the same outcome.
-func (d *Dispatcher) submit(from waiter, call specifier.QueueCall, queue specifier.Queue, id string) {
+func (d *Dispatcher) submit(from waiter, call specifier.QueueCall, t target) {
+	if t.knowsJob() {
+		d.resubmit(from, t)
+		return
+	}
+	id, queue := t.id, t.queue
 	if strings.Contains(id, "/") {
 		// The path may belong to a queue with a longer prefix that was removed, where the job may have run.
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: "the job's ID contains a slash"})
@@ -20,16 +25,8 @@
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: problems.Error()})
 		return
 	}
-	if j := d.jobs[id]; j != nil {
-		d.resubmit(from, j, queue)
-		return
-	}
-	if record := d.Recorder.Job(id); record != nil {
-		if !record.Job.BelongsTo(queue) {
-			d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, Detail: "another queue has a job of this ID"})
-			return
-		}
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: record.State})
+	if d.jobs[id] != nil || d.Recorder.Job(id) != nil {
+		d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, Detail: "another queue has a job of this ID"})
 		return
 	}
 	j := newJob(definition, queue, d.now.Add(-call.Age), d.pool(queue.Pool).estimates.QueueFactor(queue.Name))
@@ -64,11 +61,18 @@
 	d.calls[from] = j
 }
 
-// resubmit answers for a job that is known to this leader.
-func (d *Dispatcher) resubmit(from waiter, j *job, queue specifier.Queue) {
+// queueRemovedMeanwhile is the reply to the resubmission of a known job whose queue was removed: it neither counts as service by the
+// removed queue nor denies that the job runs.
+var queueRemovedMeanwhile = specifier.QueueReply{Result: specifier.QueueExpired, Detail: "the queue was removed; the job was submitted before and may have run"}
+
+// resubmit answers for a job that is recorded or known to this leader.
+func (d *Dispatcher) resubmit(from waiter, t target) {
+	j := t.job
 	switch {
-	case !j.BelongsTo(queue):
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueRefused, Detail: "another queue has a job of this ID"})
+	case !t.found:
+		d.reply(from, queueRemovedMeanwhile)
+	case j == nil:
+		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: t.record.State})
 	case j.ended:
 		d.reply(from, j.outcome)
 	case j.recorded:
--- a/core/specifier/queueresult.go
+++ b/core/specifier/queueresult.go
@@ -11,7 +11,7 @@
 	JobNotFound               // there is no such job
 	QueueInvalid
 	QueueUnavailable // the controller cannot answer now
-	QueueExpired     // the job was abandoned, or an earlier controller may have handled the call; parts of the job may have run
+	QueueExpired     // the job was abandoned, its queue was removed, or an earlier controller may have handled the call; parts of it may have run
 )
 
 // DeniesEffect reports whether the result states that the call had no effect. Only the first controller that handles a call can know this.
