controller/dispatcher: cancel transient and unrecorded jobs of a removed queue

Seen by callers: a DELETE for a transient job, or for a job whose acceptance is still being recorded, is answered 404 "no such queue" once its queue was removed, and the job runs on.

Cause: cancelInRemovedQueue was a second lookup by the path of submission, among recorded jobs only.

Change: cancel serves both cases with the one lookup of target.go; the lookup and the branch of cancelInRemovedQueue are gone. When the log rejects an acceptance, cancellations that wait by the path of a removed queue are answered too.

Before: the three new subtests of TestRemovedQueue failed (transient, before it is recorded, before the log rejects it); after: none, and the tests of controller/dispatcher pass. Found by reading, shown without processes only.

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -41,10 +41,7 @@
 		return
 	}
 	t := d.resolve(event.Call)
-	if !t.found && event.Call.Verb == specifier.CancelQueued && d.cancelInRemovedQueue(from, event.Call) {
-		return
-	}
-	if !t.found && (event.Call.Verb != specifier.SubmitQueued || !t.knowsJob()) {
+	if !t.found && (event.Call.Verb == specifier.QueryQueued || !t.knowsJob()) {
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueNotFound, Detail: "no such queue"})
 		return
 	}
@@ -147,13 +144,16 @@
 	case j != nil && j.Transient:
 		d.stopRuns(j)
 		d.finish(j, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobCancelled})
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: specifier.JobCancelled})
+		d.reply(from, t.cancellation(specifier.JobCancelled))
 	case record != nil && record.State.Ended() || j == nil:
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: record.State})
-	default:
+		d.reply(from, t.cancellation(record.State))
+	case t.found:
 		j.waiters = append(j.waiters, from)
 		d.calls[from] = j
 		d.proposeCancellation(j)
+	default:
+		j.removedQueueWaiters = append(j.removedQueueWaiters, from)
+		d.proposeCancellation(j)
 	}
 }
 
@@ -164,27 +164,6 @@
 	d.propose(specifier.QueueCommand{Cancel: j.ID})
 }
 
-// queueRemoved is the reply to a cancellation by the path of a queue that was removed, once nothing of the job can start any more.
-var queueRemoved = specifier.QueueReply{Result: specifier.JobNotFound, Detail: "the queue was removed, and the job is not running"}
-
-// cancelInRemovedQueue cancels a recorded job by the path that it was submitted to, although the manifest does not define its queue any
-// more, and reports whether there is such a job. Otherwise nobody could cancel a job that goes on under the terms of a removed queue. The reply does not
-// count as service by the removed queue.
-func (d *Dispatcher) cancelInRemovedQueue(from waiter, call specifier.QueueCall) bool {
-	record := d.Recorder.Job(path.Base(call.Path))
-	if record == nil || !record.Job.SubmittedAt(call.Host, call.Path) {
-		return false
-	}
-	j := d.jobs[record.Job.ID]
-	if record.State.Ended() || j == nil {
-		d.reply(from, queueRemoved)
-		return true
-	}
-	j.removedQueueWaiters = append(j.removedQueueWaiters, from)
-	d.proposeCancellation(j)
-	return true
-}
-
 // abandon removes a call whose caller no longer waits. A transient job without waiting calls starts no further task.
 func (d *Dispatcher) abandon(from waiter) {
 	j := d.calls[from]
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -76,6 +76,13 @@
 	j.waiters = nil
 }
 
+func (d *Dispatcher) answerInRemovedQueue(j *job, reply specifier.QueueReply) {
+	for _, from := range j.removedQueueWaiters {
+		d.reply(from, reply)
+	}
+	j.removedQueueWaiters = nil
+}
+
 func (d *Dispatcher) cancelled(id string) {
 	j := d.jobs[id]
 	if j == nil || j.Transient {
@@ -141,15 +148,13 @@
 	case command.Accept != nil:
 		if j := d.jobs[command.Accept.ID]; j != nil && !j.recorded {
 			d.answer(j, busy)
+			d.answerInRemovedQueue(j, busy)
 			delete(d.jobs, j.ID)
 		}
 	case command.Cancel != "":
 		if j := d.jobs[command.Cancel]; j != nil {
 			d.answer(j, busy)
-			for _, from := range j.removedQueueWaiters {
-				d.reply(from, busy)
-			}
-			j.removedQueueWaiters = nil
+			d.answerInRemovedQueue(j, busy)
 			j.cancelled = false
 			d.enqueueUnblocked(j)
 		}
--- a/controller/dispatcher/removedqueue_test.go
+++ b/controller/dispatcher/removedqueue_test.go
@@ -38,6 +38,22 @@
 	must.Eq(f.t, want, f.mustReply(specifier.QueueOK).State)
 }
 
+// cancelledWhileUnrecorded returns a fixture with a job whose queue was removed and which was cancelled before its acceptance was committed,
+// and both commands.
+func cancelledWhileUnrecorded(t *testing.T) (f *fixture, accept, cancel Propose) {
+	f = newFixture(t, 1)
+	propose := func(event Event) Propose {
+		proposed := find[Propose](f.d.Step(f.now, event))
+		must.SliceLen(t, 1, proposed)
+		return proposed[0]
+	}
+	accept = propose(CallReceived{Stream: caller, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "h", Path: "/q/a",
+		Job: specifier.QueuedJob{Steps: []specifier.Step{{Count: 1, Resources: taskResources}}}}})
+	f.manifest(2)
+	cancel = propose(CallReceived{Stream: caller, Sequence: 2, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/q/a"}})
+	return f, accept, cancel
+}
+
 // Guards against an accepted job that fails early, stands still, is denied or can't be cancelled because its queue was removed or renamed.
 func TestRemovedQueue(t *testing.T) {
 	started := func(t *testing.T) (*fixture, specifier.RunStart) {
@@ -83,6 +99,33 @@
 		f.cancel("a")
 		f.mustReply(specifier.JobNotFound)
 	})
+	t.Run("cancelled, transient", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("a", 1, true)
+		start := f.starts()[0]
+		f.manifest(2)
+		f.cancel("a")
+		replies := find[Reply](f.actions)
+		must.Len(t, 2, replies) // to the submission and the cancellation
+		must.Eq(t, specifier.JobNotFound, replies[1].Reply.Result)
+		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
+	})
+	t.Run("cancelled before it is recorded", func(t *testing.T) {
+		f, accept, cancel := cancelledWhileUnrecorded(t)
+		f.step(Applied(accept))
+		f.mustReply(specifier.QueueOK) // to the submission
+		must.SliceEmpty(t, f.starts())
+		f.step(Applied(cancel))
+		f.mustReply(specifier.JobNotFound)
+		must.SliceEmpty(t, f.starts())
+	})
+	t.Run("cancelled before the log rejects it", func(t *testing.T) { // guards against a cancellation that gets no answer
+		f, accept, _ := cancelledWhileUnrecorded(t)
+		f.step(Rejected(accept))
+		replies := find[Reply](f.actions)
+		must.Len(t, 2, replies) // to the submission and the cancellation
+		must.Eq(t, specifier.QueueUnavailable, replies[1].Reply.Result)
+	})
 	t.Run("another path", func(t *testing.T) {
 		f, _ := started(t)
 		f.manifest(2)
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -149,10 +149,8 @@
 	for _, watching := range j.watchers {
 		d.reply(watching.from, outcome)
 	}
-	for _, from := range j.removedQueueWaiters {
-		d.reply(from, queueRemoved)
-	}
-	j.waiters, j.watchers, j.removedQueueWaiters = nil, nil, nil
+	d.answerInRemovedQueue(j, queueRemoved)
+	j.waiters, j.watchers = nil, nil
 	if !j.Transient {
 		delete(d.jobs, j.ID)
 		return
--- a/controller/dispatcher/target.go
+++ b/controller/dispatcher/target.go
@@ -55,3 +55,14 @@
 
 // knowsJob reports whether the path selects a job.
 func (t target) knowsJob() bool { return t.record != nil || t.job != nil }
+
+// queueRemoved is the reply to a cancellation by the path of a queue that was removed, once nothing of the job can start any more.
+var queueRemoved = specifier.QueueReply{Result: specifier.JobNotFound, Detail: "the queue was removed, and the job is not running"}
+
+// cancellation is the reply to the cancellation of a job that is in the given state. A removed queue must not answer with success.
+func (t target) cancellation(state specifier.QueueState) specifier.QueueReply {
+	if !t.found {
+		return queueRemoved
+	}
+	return specifier.QueueReply{Result: specifier.QueueOK, State: state}
+}
