controller/dispatcher: count the waiting jobs of a queue under its former name

Seen by callers: a queue gets another name at the same host and prefix. GET PREFIX answers that no job waits although accepted jobs do.

Cause: the count compared the names of queues, while a call for a single job also accepts one of the same host and prefix.

Change: the count uses QueuedJob.BelongsTo like the other calls.

Before: TestPendingJobsOfARenamedQueue/same_path failed; after: it passes, as do the tests of controller/dispatcher. Found by reading, shown without processes only.

--- a/controller/dispatcher/call.go
+++ b/controller/dispatcher/call.go
@@ -105,7 +105,7 @@
 func (d *Dispatcher) countPending(from waiter, queue specifier.Queue) {
 	pending := 0
 	for _, j := range d.jobs {
-		if j.recorded && !j.ended && !j.started && j.Queue == queue.Name {
+		if j.recorded && !j.ended && !j.started && j.BelongsTo(queue) {
 			pending++
 		}
 	}
--- a/controller/dispatcher/removedqueue_test.go
+++ b/controller/dispatcher/removedqueue_test.go
@@ -149,3 +149,17 @@
 	t.Run("known", func(t *testing.T) { must.Eq(t, 1, denials(t, "a")) })
 	t.Run("unknown", func(t *testing.T) { must.Eq(t, 0, denials(t, "b")) })
 }
+
+// Guards against a count of 0 pending jobs although accepted jobs wait, because their queue has another name now.
+func TestPendingJobsOfARenamedQueue(t *testing.T) {
+	count := func(t *testing.T, queue specifier.Queue) int {
+		f := newFixture(t, 0)
+		f.submit("a", 1, false)
+		f.manifest(2, queue)
+		f.callAt(specifier.QueryQueued, queue.Prefix)
+		return f.mustReply(specifier.QueueOK).Pending
+	}
+	t.Run("same path", func(t *testing.T) { must.Eq(t, 1, count(t, testQueue("r", "/q/"))) })
+	t.Run("same name", func(t *testing.T) { must.Eq(t, 1, count(t, testQueue("q", "/q/"))) })
+	t.Run("another path and name", func(t *testing.T) { must.Eq(t, 0, count(t, testQueue("r", "/"))) })
+}
