local/simulator: cancel jobs of a queue that comes and goes

Cause: the random schedules had one queue that never changed, so none could meet a job whose path another queue takes over.

Change: TestCancelledJobsOfARemovedQueueStop. Its jobs belong to a queue whose prefix continues that of another one; the queue is removed and defined again while the jobs run and are cancelled, with restarts, cut connections and changes of leader around the cancellations.

--- a/local/simulator/fakecaller_test.go
+++ b/local/simulator/fakecaller_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"cmp"
 	"time"
 
 	"oleandertally/controller/dispatcher"
@@ -11,6 +12,7 @@
 type fakeCaller struct {
 	world      *world
 	id         string
+	prefix     string // of its queue; "" for queuePrefix
 	transient  bool
 	runTime    time.Duration // of each of its tasks; 0 for a random time
 	width      int           // small tasks in its first step; 0 for a step of a few large ones
@@ -35,6 +37,9 @@
 	return 250 * time.Millisecond
 }
 
+// path returns the path of the caller's job.
+func (c *fakeCaller) path() string { return cmp.Or(c.prefix, queuePrefix) + c.id }
+
 // steps returns the steps of the caller's job. The second one is a single task that waits for the first step.
 func (c *fakeCaller) steps() []specifier.Step {
 	first := specifier.Step{Count: 3, Resources: specifier.Resources{MilliCores: 1500, Memory: 1}, Estimate: c.estimate()}
@@ -90,7 +95,7 @@
 		leader, stream, sentBefore := c.leader, c.stream, c.sentBefore
 		c.sentBefore = true
 		w.after(w.randomDuration(time.Millisecond, 4*time.Millisecond), func() {
-			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: queueHost, Path: queuePrefix + c.id,
+			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.SubmitQueued, Host: queueHost, Path: c.path(),
 				TimeLeft: callerTimeLeft, Age: w.now.Sub(c.startedAt), Resubmitted: sentBefore, Job: specifier.QueuedJob{Transient: c.transient, Content: c.id, Steps: c.steps()}}})
 		})
 	}
--- a/local/simulator/fakecanceller_test.go
+++ b/local/simulator/fakecanceller_test.go
@@ -31,7 +31,7 @@
 		c.stream, c.leader = lastStreamID, w.leaders[w.leaderIndex]
 		leader, stream := c.leader, c.stream
 		w.after(w.randomDuration(time.Millisecond, 4*time.Millisecond), func() {
-			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: queueHost, Path: queuePrefix + c.caller.id, TimeLeft: callerTimeLeft}})
+			leader.step(dispatcher.CallReceived{Stream: stream, Sequence: 1, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: queueHost, Path: c.caller.path(), TimeLeft: callerTimeLeft}})
 		})
 	}
 	w.after(resendInterval, c.cancel)
--- a/local/simulator/schedule_test.go
+++ b/local/simulator/schedule_test.go
@@ -32,6 +32,12 @@
 // broke, or another controller led by then.
 func TestCancelledJobsStop(t *testing.T) { runSchedules(t, (*world).scheduleCancellations) }
 
+// Guards against a cancellation that is denied, or acknowledged and not carried out, because the job's queue was removed and the prefix of
+// another queue matches its path.
+func TestCancelledJobsOfARemovedQueueStop(t *testing.T) {
+	runSchedules(t, (*world).scheduleRemovedQueue)
+}
+
 // Guards against a task that is started again because the worker had no room for its end in a list, and against a job that stands still
 // because the ends beyond the first list are never asked for.
 func TestEndsInPages(t *testing.T) { runSchedules(t, (*world).scheduleWideJobs) }
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -27,6 +27,7 @@
 	poolName        = "pool"
 	queueHost       = "host"
 	queuePrefix     = "/q/"
+	innerPrefix     = "/q/inner/"
 	maxCallDelay    = 6 * time.Second
 	// callerPause is the least time between two attempts of a caller whose entry was lost.
 	callerPause = 1300 * time.Millisecond
@@ -48,30 +49,31 @@
 
 // world simulates the controllers, agents, workers and callers of one schedule.
 type world struct {
-	t             *testing.T
-	seed          uint64
-	random        *rand.Rand
-	now           time.Time
-	timers        container.Heap[timer]
-	timerCount    int
-	faultsEnabled bool
-	leaders       []*fakeLeader
-	leaderIndex   int // -1 while there is no leader
-	term          uint64
-	commandLog    []specifier.QueueCommand
-	agents        []*fakeAgent
-	callers       []*fakeCaller
-	cancellers    []*fakeCanceller
-	operators     []*fakeOperator
-	zoneOrders    map[specifier.QueueVerb]int // acknowledged orders
-	running       map[string]*workerRun       // by task, on live workers
-	acknowledged  map[string]bool             // tasks whose end as done was acknowledged
-	starts        map[string]int              // started runs by task
-	started       map[string]bool             // jobs with at least one started task
-	announcing    bool                        // leaders announce the jobs that they may start
-	endsPerPage   int                         // the most ends that a worker lists in one answer
-	slowUntil     time.Time                   // until then the log commits slowly
-	logLines      []string
+	t               *testing.T
+	seed            uint64
+	random          *rand.Rand
+	now             time.Time
+	timers          container.Heap[timer]
+	timerCount      int
+	faultsEnabled   bool
+	leaders         []*fakeLeader
+	leaderIndex     int // -1 while there is no leader
+	term            uint64
+	commandLog      []specifier.QueueCommand
+	manifestVersion uint64
+	agents          []*fakeAgent
+	callers         []*fakeCaller
+	cancellers      []*fakeCanceller
+	operators       []*fakeOperator
+	zoneOrders      map[specifier.QueueVerb]int // acknowledged orders
+	running         map[string]*workerRun       // by task, on live workers
+	acknowledged    map[string]bool             // tasks whose end as done was acknowledged
+	starts          map[string]int              // started runs by task
+	started         map[string]bool             // jobs with at least one started task
+	announcing      bool                        // leaders announce the jobs that they may start
+	endsPerPage     int                         // the most ends that a worker lists in one answer
+	slowUntil       time.Time                   // until then the log commits slowly
+	logLines        []string
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -96,11 +98,21 @@
 		w.agents = append(w.agents, newFakeAgent(w, fmt.Sprintf("agent-%d", i), zoneName(i%zoneCount), oldVersion))
 	}
 	w.elect(0)
-	w.commit(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, NonEnforcingPools: []string{poolName}, Queues: []specifier.Queue{
-		{Name: "q", Host: queueHost, Prefix: queuePrefix, Pool: poolName, MaxAttempts: maxAttempts, Stretch: 1.6, Target: 60 * time.Millisecond}}}})
+	w.putManifest(testQueue("q", queuePrefix))
 	return w
 }
 
+func testQueue(name, prefix string) specifier.Queue {
+	return specifier.Queue{Name: name, Host: queueHost, Prefix: prefix, Pool: poolName, MaxAttempts: maxAttempts, Stretch: 1.6, Target: 60 * time.Millisecond}
+}
+
+// putManifest commits the next version of the manifest.
+func (w *world) putManifest(queues ...specifier.Queue) {
+	w.manifestVersion++
+	w.logf("manifest %d has %d queues", w.manifestVersion, len(queues))
+	w.commit(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: w.manifestVersion, NonEnforcingPools: []string{poolName}, Queues: queues}})
+}
+
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
 // commitDelay returns how long the log takes to commit a proposal.
@@ -289,6 +301,32 @@
 	}
 }
 
+// scheduleRemovedQueue adds jobs that are cancelled while their queue, whose prefix continues that of the other queue, comes and goes.
+func (w *world) scheduleRemovedQueue() {
+	w.putManifest(testQueue("q", queuePrefix), testQueue("inner", innerPrefix))
+	w.scheduleCancellations()
+	for _, caller := range w.callers {
+		caller.prefix = innerPrefix
+	}
+	w.after(faultTime/2, func() { w.toggleInnerQueue(false) })
+}
+
+// toggleInnerQueue removes the inner queue or brings it back, and the other way round later. It stays until every job is accepted.
+func (w *world) toggleInnerQueue(defined bool) {
+	if slices.ContainsFunc(w.callers, func(c *fakeCaller) bool { return !c.accepted }) {
+		w.after(resendInterval, func() { w.toggleInnerQueue(false) })
+		return
+	}
+	queues := []specifier.Queue{testQueue("q", queuePrefix)}
+	if defined {
+		queues = append(queues, testQueue("inner", innerPrefix))
+	}
+	w.putManifest(queues...)
+	if w.faultsEnabled {
+		w.after(w.randomDuration(100*time.Millisecond, 2*time.Second), func() { w.toggleInnerQueue(!defined) })
+	}
+}
+
 // scheduleWideJobs adds recorded jobs of many tasks that take equally long, so that their ends need several pages. An agent is restarted
 // or becomes unreachable, or the leader is deposed, around the ends of most of them.
 func (w *world) scheduleWideJobs() {
