controller/dispatcher: one file for each kind of call

call.go and submit.go held the handling of all calls, the end of jobs and their expiry. No behaviour changes; the tests of controller/dispatcher and local/simulator pass.

--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -76,13 +76,6 @@
 	j.waiters = nil
 }
 
-func (d *Dispatcher) answerInRemovedQueue(j *job, reply specifier.QueueReply) {
-	for _, from := range j.removedQueueWaiters {
-		d.reply(from, reply)
-	}
-	j.removedQueueWaiters = nil
-}
-
 func (d *Dispatcher) cancelled(id string) {
 	j := d.jobs[id]
 	if j == nil || j.Transient {
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -44,10 +44,15 @@
 		d.propose(specifier.QueueCommand{Accept: &definition})
 		return
 	}
+	d.begin(j, call.Resubmitted)
+}
+
+// begin queues the first tasks of a new transient job, unless the job may be running under an earlier leader.
+func (d *Dispatcher) begin(j *job, resubmitted bool) {
 	d.wake(later(j.decideAt, d.now), timer{job: j})
 	d.wake(later(j.expiresAt.Add(-j.criticalPath), d.now), timer{job: j})
 	d.wake(j.expiresAt, timer{job: j})
-	if !d.trusting || call.Resubmitted || d.Recorder.Announced(id) {
+	if !d.trusting || resubmitted || d.Recorder.Announced(j.ID) {
 		d.hold(j)
 	}
 	j.unannounced = !d.announce(j)
@@ -69,7 +74,7 @@
 func (d *Dispatcher) resubmit(from waiter, t target) {
 	j := t.job
 	switch {
-	case !t.found:
+	case !t.queueFound:
 		d.reply(from, queueRemovedMeanwhile)
 	case j == nil:
 		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK, State: t.record.State})
@@ -133,94 +138,3 @@
 		}
 	}
 }
-
-// finish ends a job and answers its waiting calls.
-func (d *Dispatcher) finish(j *job, outcome specifier.QueueReply) {
-	if j.ended {
-		return
-	}
-	j.ended, j.outcome = true, outcome
-	d.dequeueJob(j)
-	for _, from := range j.waiters {
-		delete(d.calls, from)
-		d.reply(from, outcome)
-	}
-	d.emit(LogEvent{Event: "JobEnded", Job: j.ID, Queue: j.Queue, Age: d.now.Sub(j.arrived), Count: j.remaining, Detail: outcomeName(outcome)})
-	for _, watching := range j.watchers {
-		d.reply(watching.from, outcome)
-	}
-	d.answerInRemovedQueue(j, queueRemoved)
-	j.waiters, j.watchers = nil, nil
-	if !j.Transient {
-		delete(d.jobs, j.ID)
-		return
-	}
-	j.evictAt = d.now.Add(d.Settings.KeepAfter)
-	d.wake(j.evictAt, timer{job: j})
-}
-
-func outcomeName(outcome specifier.QueueReply) string {
-	switch {
-	case outcome.Result != specifier.QueueOK:
-		return outcome.Detail
-	case outcome.State == specifier.JobCompleted:
-		return "Completed"
-	case outcome.State == specifier.JobFailed:
-		return "Failed"
-	}
-	return "Cancelled"
-}
-
-// orphanRuns stops the runs of a job that is being deleted. A resubmission can claim them until their ends are reported.
-func (d *Dispatcher) orphanRuns(j *job) {
-	j.eachTask(func(t *task) {
-		if r := t.run; r != nil {
-			t.run, r.task = nil, nil
-			d.orphans[t.name] = r
-			d.stop(r)
-		}
-	})
-}
-
-// stopRuns stops all runs of a job.
-func (d *Dispatcher) stopRuns(j *job) {
-	j.eachTask(func(t *task) {
-		if t.run != nil {
-			d.stop(t.run)
-		}
-	})
-}
-
-// expireJob handles the deadlines of a job. A transient job that has not started is refused at decideAt if it is not likely to start in
-// time. Later it is refused only when it can't end any more while its answer is of use. A job is deleted at evictAt.
-func (d *Dispatcher) expireJob(j *job) {
-	if d.jobs[j.ID] != j {
-		return
-	}
-	d.expireWatchers(j)
-	if !j.ended && !j.started && j.Transient && d.isRefusedWaiting(j) {
-		d.kind(j).Zones.Serve(d.now, j.zone, -j.coreSeconds())
-		d.finish(j, specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: d.retryAfter(d.pool(j.queue.Pool)), Detail: "it could not start in time"})
-		return
-	}
-	if !j.evictAt.IsZero() && !d.now.Before(j.evictAt) {
-		if !j.ended {
-			j.ended = true
-			d.dequeueJob(j)
-			d.orphanRuns(j)
-		}
-		delete(d.jobs, j.ID)
-	}
-}
-
-// isRefusedWaiting reports whether a job that waits is refused now.
-func (d *Dispatcher) isRefusedWaiting(j *job) bool {
-	if !d.now.Before(j.expiresAt.Add(-j.criticalPath)) {
-		return true
-	}
-	if j.decided || d.now.Before(j.decideAt) {
-		return false
-	}
-	j.decided = true
-	return d.isHopeless(j)
-}
--- a/controller/dispatcher/target.go
+++ b/controller/dispatcher/target.go
@@ -9,20 +9,20 @@
 
 // target is what the host and path of a call select.
 type target struct {
-	queue  specifier.Queue     // as the manifest in force defines it
-	found  bool                // the manifest in force defines a queue for the path
-	id     string              // rest of the path after the queue's prefix
-	record *jobrecorder.Record // of the job; nil unless it is recorded
-	job    *job                // nil unless this leader has it
+	queue      specifier.Queue     // as the manifest in force defines it
+	queueFound bool                // the manifest in force defines a queue for the path
+	id         string              // rest of the path after the queue's prefix
+	record     *jobrecorder.Record // of the job; nil unless it is recorded
+	job        *job                // nil unless this leader has it
 }
 
 // resolve returns what the path of a call selects. A job is found by the path that it was submitted to even if the manifest does not define
 // its queue any more or another queue's prefix matches the path now: its caller knows no other path.
 func (d *Dispatcher) resolve(call specifier.QueueCall) target {
 	t := target{}
-	t.queue, t.id, t.found = d.Recorder.Manifest().QueueForPath(call.Host, call.Path)
+	t.queue, t.id, t.queueFound = d.Recorder.Manifest().QueueForPath(call.Host, call.Path)
 	id, known := d.submittedAt(call.Host, call.Path)
-	if !known && t.found {
+	if !known && t.queueFound {
 		id, known = t.id, d.hasJob(t.id, func(j specifier.QueuedJob) bool { return j.BelongsTo(t.queue) })
 	}
 	if known {
@@ -55,14 +55,3 @@
 
 // knowsJob reports whether the path selects a job.
 func (t target) knowsJob() bool { return t.record != nil || t.job != nil }
-
-// queueRemoved is the reply to a cancellation by the path of a queue that was removed, once nothing of the job can start any more.
-var queueRemoved = specifier.QueueReply{Result: specifier.JobNotFound, Detail: "the queue was removed, and the job is not running"}
-
-// cancellation is the reply to the cancellation of a job that is in the given state. A removed queue must not answer with success.
-func (t target) cancellation(state specifier.QueueState) specifier.QueueReply {
-	if !t.found {
-		return queueRemoved
-	}
-	return specifier.QueueReply{Result: specifier.QueueOK, State: state}
-}
