controller/dispatcher: one definition of the test queue and of test calls

The queue of the tests stood in four places, and calls for a path in four. The fixture now has both. Two subtests that differed in a prefix are one. No test checks less; the tests of controller/dispatcher and local/simulator pass.

--- a/controller/dispatcher/bench_test.go
+++ b/controller/dispatcher/bench_test.go
@@ -18,8 +18,7 @@
 			d := &Dispatcher{Recorder: jobrecorder.New(time.Minute), Settings: Defaults(), Leading: func(time.Time) bool { return true }, EnoughVoters: func() bool { return true }}
 			step := func(event Event) []Action { return d.Step(now, event) }
 			step(BecameLeader{Term: 1})
-			step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{
-				{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}}}}})
+			step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{testQueue("q", "/q/")}}}})
 			var running []runAt
 			take := func(actions []Action) {
 				for _, action := range actions {
--- a/controller/dispatcher/fixture_test.go
+++ b/controller/dispatcher/fixture_test.go
@@ -36,14 +36,17 @@
 	f := &fixture{t: t, now: time.Unix(1000, 0), leading: true, estimate: 100 * time.Millisecond}
 	f.d = &Dispatcher{Recorder: jobrecorder.New(time.Minute), Settings: Defaults(), Leading: func(time.Time) bool { return f.leading }, EnoughVoters: func() bool { return true }}
 	f.step(BecameLeader{Term: 1})
-	f.step(Applied{specifier.QueueCommand{Manifest: &specifier.Manifest{Version: 1, Queues: []specifier.Queue{
-		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}}}}})
+	f.manifest(1, testQueue("q", "/q/"))
 	for agent := 1; agent <= agents; agent++ {
 		f.attach(agent)
 	}
 	return f
 }
 
+func testQueue(name, prefix string) specifier.Queue {
+	return specifier.Queue{Name: name, Host: "h", Prefix: prefix, Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
+}
+
 func (f *fixture) step(event Event) {
 	f.actions = f.d.Step(f.now, event)
 	for _, each := range find[Propose](f.actions) {
@@ -85,10 +88,15 @@
 		Job: specifier.QueuedJob{Transient: transient, Steps: []specifier.Step{{Count: count, Resources: taskResources, Estimate: f.estimate}}}}})
 }
 
-func (f *fixture) cancel(id string) {
-	f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/q/" + id}})
+// callAt sends a call for a path of the fixture's host.
+func (f *fixture) callAt(verb specifier.QueueVerb, path string) {
+	f.step(CallReceived{Stream: caller, Sequence: 97, Call: specifier.QueueCall{Verb: verb, Host: "h", Path: path}})
 }
 
+func (f *fixture) query(id string) { f.callAt(specifier.QueryQueued, "/q/"+id) }
+
+func (f *fixture) cancel(id string) { f.callAt(specifier.CancelQueued, "/q/"+id) }
+
 // busyAgent returns the number of the agent of two that has a run.
 func (f *fixture) busyAgent() int {
 	if len(f.d.agents[agentName(2)].runs) > 0 {
--- a/controller/dispatcher/pathtakenover_test.go
+++ b/controller/dispatcher/pathtakenover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -12,15 +11,6 @@
 // innerPath is the path of job a in a queue whose prefix continues that of the fixture's queue.
 const innerPath = "/q/inner/a"
 
-func testQueue(name, prefix string) specifier.Queue {
-	return specifier.Queue{Name: name, Host: "h", Prefix: prefix, Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
-}
-
-// callAt sends a call for a path of the fixture's host.
-func (f *fixture) callAt(verb specifier.QueueVerb, path string) {
-	f.step(CallReceived{Stream: caller, Sequence: 97, Call: specifier.QueueCall{Verb: verb, Host: "h", Path: path}})
-}
-
 // submitAt submits a job of two steps with one task each.
 func (f *fixture) submitAt(path string, transient bool) {
 	f.lastSubmission++
@@ -87,25 +77,23 @@
 		f.callAt(specifier.QueryQueued, innerPath)
 		must.Eq(t, specifier.JobCancelled, f.mustReply(specifier.QueueOK).State)
 	})
-	t.Run("by a longer prefix without a slash", func(t *testing.T) {
-		f := newFixture(t, 1)
-		f.submit("ab", 1, false)
-		start := f.starts()[0]
-		f.manifest(2, testQueue("q", "/q/"), testQueue("longer", "/q/a"))
-		f.callAt(specifier.CancelQueued, "/q/ab")
-		f.mustReply(specifier.QueueOK)
-		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
-	})
-	t.Run("by a queue that is the whole path", func(t *testing.T) {
+	for name, prefix := range map[string]string{"a prefix holds part of the ID": "/q/a", "a prefix holds the whole ID": "/q/ab"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.submit("ab", 1, false)
+			start := f.starts()[0]
+			f.manifest(2, testQueue("q", "/q/"), testQueue("longer", prefix))
+			f.cancel("ab")
+			f.mustReply(specifier.QueueOK)
+			must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
+		})
+	}
+	t.Run("the path is the prefix of a queue", func(t *testing.T) { // guards against a queue whose jobs can't be counted
 		f := newFixture(t, 1)
 		f.submit("a", 1, false)
-		start := f.starts()[0]
-		f.manifest(2, testQueue("q", "/q/"), testQueue("whole", "/q/a"))
-		f.callAt(specifier.QueryQueued, "/q/a")
+		f.manifest(2, testQueue("q", "/q/"), testQueue("longer", "/q/a"))
+		f.query("a")
 		must.True(t, f.mustReply(specifier.QueueOK).HasPending)
-		f.callAt(specifier.CancelQueued, "/q/a")
-		f.mustReply(specifier.QueueOK)
-		must.Eq(t, []specifier.RunKey{start.Key}, f.stops())
 	})
 	t.Run("a path of no job", func(t *testing.T) { // guards against a job that is reached by an ID within another path
 		f, _ := newInnerJob(t, false)
--- a/controller/dispatcher/removedqueue_test.go
+++ b/controller/dispatcher/removedqueue_test.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -24,10 +23,6 @@
 	})
 }
 
-func (f *fixture) query(id string) {
-	f.step(CallReceived{Stream: caller, Sequence: 98, Call: specifier.QueueCall{Verb: specifier.QueryQueued, Host: "h", Path: "/q/" + id}})
-}
-
 // mustState requires the state that a query for job a is answered with.
 func (f *fixture) mustState(want specifier.QueueState) {
 	f.t.Helper()
@@ -61,12 +56,11 @@
 		f.submit("a", 1, false)
 		return f, f.starts()[0]
 	}
-	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
 	t.Run("a run fails meanwhile", func(t *testing.T) {
 		f, start := started(t)
 		f.manifest(2)
 		f.end(start, specifier.EndFailed)
-		f.manifest(3, queue)
+		f.manifest(3, testQueue("q", "/q/"))
 		f.mustState(specifier.JobRunning)
 	})
 	t.Run("a new leader", func(t *testing.T) {
@@ -80,9 +74,7 @@
 	})
 	t.Run("renamed", func(t *testing.T) {
 		f, _ := started(t)
-		renamed := queue
-		renamed.Name = "r"
-		f.manifest(2, renamed)
+		f.manifest(2, testQueue("r", "/q/"))
 		f.mustState(specifier.JobRunning)
 	})
 	t.Run("cancelled", func(t *testing.T) {
@@ -129,7 +121,7 @@
 	t.Run("another path", func(t *testing.T) {
 		f, _ := started(t)
 		f.manifest(2)
-		f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.CancelQueued, Host: "h", Path: "/other/a"}})
+		f.callAt(specifier.CancelQueued, "/other/a")
 		f.mustReply(specifier.QueueNotFound)
 		must.SliceEmpty(t, f.stops())
 	})
@@ -141,7 +133,7 @@
 		f := newFixture(t, 1)
 		f.submit("a", 1, false)
 		f.manifest(2, specifier.Queue{Name: "outer", Host: "h", Prefix: "/", Pool: "p"})
-		f.step(CallReceived{Stream: caller, Sequence: 99, Call: specifier.QueueCall{Verb: specifier.QueryQueued, Host: "h", Path: "/other/" + id}})
+		f.callAt(specifier.QueryQueued, "/other/"+id)
 		f.mustReply(specifier.JobNotFound)
 		logged := slices.DeleteFunc(find[LogEvent](f.actions), func(event LogEvent) bool { return event.Event != "JobDenied" })
 		return len(logged)
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -49,31 +49,31 @@
 
 // world simulates the controllers, agents, workers and callers of one schedule.
 type world struct {
-	t               *testing.T
-	seed            uint64
-	random          *rand.Rand
-	now             time.Time
-	timers          container.Heap[timer]
-	timerCount      int
-	faultsEnabled   bool
-	leaders         []*fakeLeader
-	leaderIndex     int // -1 while there is no leader
-	term            uint64
-	commandLog      []specifier.QueueCommand
-	manifestVersion uint64
-	agents          []*fakeAgent
-	callers         []*fakeCaller
-	cancellers      []*fakeCanceller
-	operators       []*fakeOperator
-	zoneOrders      map[specifier.QueueVerb]int // acknowledged orders
-	running         map[string]*workerRun       // by task, on live workers
-	acknowledged    map[string]bool             // tasks whose end as done was acknowledged
-	starts          map[string]int              // started runs by task
-	started         map[string]bool             // jobs with at least one started task
-	announcing      bool                        // leaders announce the jobs that they may start
-	endsPerPage     int                         // the most ends that a worker lists in one answer
-	slowUntil       time.Time                   // until then the log commits slowly
-	logLines        []string
+	t             *testing.T
+	seed          uint64
+	random        *rand.Rand
+	now           time.Time
+	timers        container.Heap[timer]
+	timerCount    int
+	faultsEnabled bool
+	leaders       []*fakeLeader
+	leaderIndex   int // -1 while there is no leader
+	term          uint64
+	commandLog    []specifier.QueueCommand
+	manifestCount uint64
+	agents        []*fakeAgent
+	callers       []*fakeCaller
+	cancellers    []*fakeCanceller
+	operators     []*fakeOperator
+	zoneOrders    map[specifier.QueueVerb]int // acknowledged orders
+	running       map[string]*workerRun       // by task, on live workers
+	acknowledged  map[string]bool             // tasks whose end as done was acknowledged
+	starts        map[string]int              // started runs by task
+	started       map[string]bool             // jobs with at least one started task
+	announcing    bool                        // leaders announce the jobs that they may start
+	endsPerPage   int                         // the most ends that a worker lists in one answer
+	slowUntil     time.Time                   // until then the log commits slowly
+	logLines      []string
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -108,9 +108,9 @@
 
 // putManifest commits the next version of the manifest.
 func (w *world) putManifest(queues ...specifier.Queue) {
-	w.manifestVersion++
-	w.logf("manifest %d has %d queues", w.manifestVersion, len(queues))
-	w.commit(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: w.manifestVersion, NonEnforcingPools: []string{poolName}, Queues: queues}})
+	w.manifestCount++
+	w.logf("manifest %d has %d queues", w.manifestCount, len(queues))
+	w.commit(specifier.QueueCommand{Manifest: &specifier.Manifest{Version: w.manifestCount, NonEnforcingPools: []string{poolName}, Queues: queues}})
 }
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
