--- a/controller/server/disk.go
+++ b/controller/server/disk.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"oleandertally/controller/driver"
 	"oleandertally/core/looper"
@@ -23,7 +22,7 @@
 type disk struct {
 	mailbox *looper.Mailbox[driver.Event]
 	folder  folder
-	synced  func(time.Duration) // called with the duration of each synced write
+	report  diskReport
 	journal *journaler.Journal
 	store   *snapshotter.Store
 	queue   *looper.Outbox[driver.Action]
@@ -34,10 +33,10 @@
 }
 
 // openDisk reads the data folder, and closes it after an error. The recovery includes the content of the newest snapshot.
-func openDisk(folder folder, log zerolog.Logger, mailbox *looper.Mailbox[driver.Event]) (*disk, recovery, error) {
-	d := &disk{mailbox: mailbox, folder: folder, synced: func(time.Duration) {}, queue: looper.NewOutbox[driver.Action](), saves: looper.NewOutbox[driver.Action]()}
-	d.journal = &journaler.Journal{Folder: folder, DiskID: rand.Uint64(), Log: log}
-	d.store = &snapshotter.Store{Folder: folder, Log: log}
+func openDisk(folder folder, report diskReport, mailbox *looper.Mailbox[driver.Event]) (*disk, recovery, error) {
+	d := &disk{mailbox: mailbox, folder: folder, report: report, queue: looper.NewOutbox[driver.Action](), saves: looper.NewOutbox[driver.Action]()}
+	d.journal = &journaler.Journal{Folder: folder, DiskID: rand.Uint64(), Log: report.log}
+	d.store = &snapshotter.Store{Folder: folder, Log: report.log}
 	recovered, err := d.recover()
 	if err != nil {
 		folder.Close()
@@ -51,6 +50,7 @@
 	if err != nil {
 		return recovery{}, err
 	}
+	d.report.metrics.Disk.SetJournal(d.journal.Size())
 	if err := d.store.Clean(); err != nil {
 		return recovery{}, err
 	}
@@ -86,6 +86,7 @@
 		return err
 	}
 	defer newest.Close()
+	d.report.metrics.Disk.SetSnapshot(newest.Size)
 	if r.log.Snapshot, err = transporter.DecodeSnapshot(newest.Meta.Extra); err != nil {
 		return err
 	}
@@ -100,8 +101,10 @@
 
 // run performs disk actions until ctx ends or the disk fails. After a failure the process must stop. While the disk is full, actions wait.
 func (d *disk) run(ctx context.Context) error {
-	room := &roomWaiter{log: d.journal.Log}
-	d.journal.Full = func(cause error) error { return room.wait(ctx, cause) }
+	room := &roomWaiter{report: d.report}
+	d.journal.Full = func(cause error) error {
+		return room.wait(ctx, errors.Wrapf(cause, "a log of %d bytes", d.journal.Size()))
+	}
 	for {
 		actions, err := d.queue.Take(ctx)
 		if err != nil {
@@ -159,10 +162,14 @@
 		return nil
 	}
 	began := time.Now()
+	before := d.journal.Base()
 	if err := d.journal.Commit(operations...); err != nil {
 		return err
 	}
-	d.synced(time.Since(began))
+	d.report.committed(time.Since(began), d.journal.Size())
+	if d.journal.Base() > before {
+		d.report.compacted(d.journal.Base(), d.journal.Size())
+	}
 	return nil
 }
 
@@ -199,9 +206,13 @@
 
 // saveWhenRoom saves a snapshot, and repeats that while the disk is full.
 func (d *disk) saveWhenRoom(ctx context.Context, snapshot replicator.Snapshot, image *driver.Image) error {
-	room := &roomWaiter{log: d.store.Log}
+	room := &roomWaiter{report: d.report}
 	for {
-		err := d.saveOne(snapshot, image)
+		began := time.Now()
+		size, err := d.saveOne(snapshot, image)
+		if err == nil {
+			d.report.saved(uint64(snapshot.Index), size, time.Since(began))
+		}
 		if !journaler.IsFull(err) {
 			return err
 		}
@@ -211,10 +222,11 @@
 	}
 }
 
-func (d *disk) saveOne(snapshot replicator.Snapshot, image *driver.Image) error {
+// saveOne saves a snapshot and returns the size of its file in bytes.
+func (d *disk) saveOne(snapshot replicator.Snapshot, image *driver.Image) (int64, error) {
 	extra, err := transporter.EncodeSnapshot(snapshot)
 	if err != nil {
-		return errors.Wrap(err, "encode the snapshot's description")
+		return 0, errors.Wrap(err, "encode the snapshot's description")
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/controller/server/opendisk.go
+++ b/controller/server/opendisk.go
@@ -12,10 +12,5 @@
 	if err != nil {
 		return nil, recovery{}, err
 	}
-	d, recovered, err := openDisk(opened, c.Log, c.mailbox)
-	if err != nil {
-		return nil, recovery{}, err
-	}
-	d.synced = c.Metrics.Synced
-	return d, recovered, nil
+	return openDisk(opened, diskReport{log: c.Log, metrics: c.Metrics, logged: c.Logged}, c.mailbox)
 }
--- a/controller/server/roomwaiter.go
+++ b/controller/server/roomwaiter.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"oleandertally/core/looper"
 )
 
@@ -15,7 +13,7 @@
 // roomWaiter waits between the attempts to write to a full disk. A controller with a full disk is like one whose disk stalls: it acknowledges
 // nothing, and the others go on without it.
 type roomWaiter struct {
-	log      zerolog.Logger
+	report   diskReport
 	loggedAt time.Time // when the full disk was last logged
 }
 
@@ -24,9 +22,10 @@
 
 // wait returns nil after fullInterval, or the cause of ctx once it has ended.
 func (r *roomWaiter) wait(ctx context.Context, cause error) error {
+	r.report.metrics.Disk.Rejected()
 	if time.Since(r.loggedAt) >= fullLogInterval {
 		r.loggedAt = time.Now()
-		r.log.Error().Str("Event", "DiskFull").Err(cause).Msg("the disk has no room; nothing is acknowledged until it has")
+		r.report.full(cause)
 	}
 	looper.Pause(ctx, fullInterval)
 	return context.Cause(ctx)
--- a/core/exporter/controller.go
+++ b/core/exporter/controller.go
@@ -11,6 +11,7 @@
 // Controller contains the metrics of a controller. It is safe for concurrent use.
 type Controller struct {
 	*Member
+	Disk        *Disk
 	leading     prometheus.Gauge
 	term        prometheus.Gauge
 	commit      prometheus.Gauge
@@ -28,6 +29,7 @@
 	const role = "controller"
 	c := &Controller{
 		Member:      newMember(),
+		Disk:        newDisk(),
 		leading:     gauge(role, "leading", "1 while this controller leads, else 0."),
 		term:        gauge(role, "term", "Current term."),
 		commit:      gauge(role, "commit_index", "Index of the newest committed log entry."),
@@ -41,6 +43,7 @@
 	}
 	c.registry.MustRegister(c.leading, c.term, c.commit, c.applied, c.elections, c.sync, c.batch, c.decisions,
 		c.submissions, c.members)
+	c.registry.MustRegister(c.Disk.collectors()...)
 	for _, verdict := range verdicts {
 		c.decisions.WithLabelValues(string(verdict))
 	}
--- a/state/journaler/journal.go
+++ b/state/journaler/journal.go
@@ -40,6 +40,15 @@
 // Last returns the index of the last record, or Base if the log is empty.
 func (j *Journal) Last() uint64 { return j.last }
 
+// Size returns the size of all segments, in bytes.
+func (j *Journal) Size() int64 {
+	total := j.size
+	for _, each := range j.sealed {
+		total += each.size
+	}
+	return total
+}
+
 // Commit writes the operations in order and returns once they are durable. All operations
 // share one sync unless their records exceed 4 MiB. Every error is permanent and matches
 // ErrFailed; an error caused by an invalid operation also matches ErrOutOfOrder.
@@ -118,7 +127,7 @@
 		return errors.Wrapf(err, "create %s", next.name())
 	}
 	if j.file != nil {
-		j.sealed = append(j.sealed, j.active)
+		j.seal()
 		if err := j.file.Close(); err != nil {
 			return errors.Wrapf(err, "close %s", j.active.name())
 		}
@@ -132,6 +141,12 @@
 	return errors.Wrap(j.Folder.Sync(), "sync data folder")
 }
 
+// seal adds the active segment to the sealed ones.
+func (j *Journal) seal() {
+	j.active.size = j.size
+	j.sealed = append(j.sealed, j.active)
+}
+
 // rollSegment starts a new segment if the active one is full.
 func (j *Journal) rollSegment() error {
 	if j.activeEmpty || j.size < j.SegmentSize {
--- a/state/journaler/open.go
+++ b/state/journaler/open.go
@@ -161,7 +161,7 @@
 // activate makes the segment the active one and seals the previous active segment.
 func (j *Journal) activate(file File, s *segment, size int64) error {
 	if j.file != nil {
-		j.sealed = append(j.sealed, j.active)
+		j.seal()
 		if err := j.file.Close(); err != nil {
 			return errors.Wrapf(err, "close %s", j.active.name())
 		}
--- a/state/journaler/segment.go
+++ b/state/journaler/segment.go
@@ -12,6 +12,7 @@
 type segment struct {
 	number       uint64
 	highestIndex uint64 // highest index of a record ever written to the file; 0 if no record of the file is needed
+	size         int64  // in bytes, once the segment is sealed
 }
 
 func (s segment) name() string { return fmt.Sprintf("%016d%s", s.number, segmentSuffix) }
--- a/state/snapshotter/store.go
+++ b/state/snapshotter/store.go
@@ -74,39 +74,44 @@
 }
 
 // Save stores the output of write as the body of a snapshot. Once the file is durable, Save removes
-// earlier snapshots and returns. Snapshots that are open stay readable.
-func (s *Store) Save(meta Meta, write func(io.Writer) error) error {
+// earlier snapshots and returns the size of the file in bytes. Snapshots that are open stay readable.
+func (s *Store) Save(meta Meta, write func(io.Writer) error) (int64, error) {
 	if len(meta.Extra) > MaxExtra {
-		return errors.Newf("extra has %d bytes, expected at most %d", len(meta.Extra), MaxExtra)
+		return 0, errors.Newf("extra has %d bytes, expected at most %d", len(meta.Extra), MaxExtra)
 	}
 	name := fileName(meta.Index)
-	if err := s.writeFile(name+savingSuffix, meta, write); err != nil {
-		return errors.Wrapf(err, "save %s", name)
+	size, err := s.writeFile(name+savingSuffix, meta, write)
+	if err != nil {
+		return 0, errors.Wrapf(err, "save %s", name)
 	}
-	return s.publish(name+savingSuffix, meta.Index)
+	return size, s.publish(name+savingSuffix, meta.Index)
 }
 
-func (s *Store) writeFile(name string, meta Meta, write func(io.Writer) error) error {
+// writeFile writes and syncs a snapshot file, and returns its size in bytes.
+func (s *Store) writeFile(name string, meta Meta, write func(io.Writer) error) (int64, error) {
 	file, err := s.Folder.Create(name)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer file.Close()
 	buffer := bufio.NewWriterSize(file, MaxChunk)
 	checksummed := newChecksumWriter(buffer)
 	if err := checksummed.writeHeader(meta); err != nil {
-		return err
+		return 0, err
 	}
 	if err := write(checksummed); err != nil {
-		return err
+		return 0, err
 	}
 	if err := checksummed.writeTrailer(); err != nil {
-		return err
+		return 0, err
 	}
 	if err := buffer.Flush(); err != nil {
-		return err
+		return 0, err
+	}
+	if err := file.Sync(); err != nil {
+		return 0, err
 	}
-	return file.Sync()
+	return file.Size()
 }
 
 // publish renames a synced file to its final name and removes earlier snapshots once the rename is durable.
--- a/state/snapshotter/store_test.go
+++ b/state/snapshotter/store_test.go
@@ -24,10 +24,11 @@
 
 func save(store *Store, index uint64, body []byte) error {
 	meta := Meta{Index: index, Term: 2, Extra: []byte("servers")}
-	return store.Save(meta, func(w io.Writer) error {
+	_, err := store.Save(meta, func(w io.Writer) error {
 		_, err := w.Write(body)
 		return err
 	})
+	return err
 }
 
 // mustLoad asserts the newest snapshot that a new process finds.
