--- a/state/snapshotter/store.go
+++ b/state/snapshotter/store.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"io/fs"
 	"slices"
 	"strconv"
 	"strings"
@@ -82,11 +83,21 @@
 	name := fileName(meta.Index)
 	size, err := s.writeFile(name+savingSuffix, meta, write)
 	if err != nil {
+		err = errors.CombineErrors(err, s.removeUnfinished(name+savingSuffix))
 		return 0, errors.Wrapf(err, "save %s", name)
 	}
 	return size, s.publish(name+savingSuffix, meta.Index)
 }
 
+// removeUnfinished removes what a failed Save has written: on a full disk, it would keep the room that the log needs.
+func (s *Store) removeUnfinished(name string) error {
+	err := s.Folder.Remove(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return errors.Wrapf(err, "remove %s", name)
+}
+
 // writeFile writes and syncs a snapshot file, and returns its size in bytes.
 func (s *Store) writeFile(name string, meta Meta, write func(io.Writer) error) (int64, error) {
 	file, err := s.Folder.Create(name)
