Bound the log by its bytes, so that changes of a large manifest can't fill the disks

An entry with this manifest takes 0.4 MB, so that the log filled 128 MB at all controllers at once.

Evidence: no SnapshotSaved, no LogCompacted and a log of 133,918,171 bytes in DiskFull on the code before.

Change: replicator.Settings has SnapshotBytes, KeepBytes and MaxLog beside the numbers of entries. A leader refuses proposals beyond MaxLog, as it does with too many uncommitted bytes.

--- a/controller/server/controller.go
+++ b/controller/server/controller.go
@@ -44,9 +44,10 @@
 	Addr           netip.AddrPort // gRPC, as others reach it
 	ListenAddr     netip.AddrPort // differs from Addr behind a port forwarder; zero for Addr
 	DataFolder     string
-	Peers          []Peer // every controller of the cluster, this one included
-	Bootstrap      bool   // begin a new cluster of this controller alone; the others join it
-	BootstrapIfNew bool   // like Bootstrap, but only if the data folder is new
+	DiskLimit      configurator.ByteSize // room for DataFolder, which bounds the log; 0 for no limit
+	Peers          []Peer                // every controller of the cluster, this one included
+	Bootstrap      bool                  // begin a new cluster of this controller alone; the others join it
+	BootstrapIfNew bool                  // like Bootstrap, but only if the data folder is new
 	MemberLease    time.Duration
 	MaxSubmissions int
 	Consensus      replicator.Settings
@@ -79,6 +80,7 @@
 	recovered     recovery
 	machine       *driver.Driver
 	listener      net.Listener
+	segmentSize   int64                             // size in bytes at which a file of the log is full; 0 for the journal's default
 	serverOptions []grpc.ServerOption               // added by tests
 	openFolder    func(path string) (folder, error) // nil for the file system; tests inject faults
 }
@@ -94,6 +96,8 @@
 		return errors.New("controller: DataFolder: is empty")
 	case !slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.Name == c.Name }):
 		return errors.Newf("controller: Peers: does not list %s", c.Name)
+	case c.DiskLimit < 0:
+		return errors.Newf("controller: DiskLimit: got %d, expected at least 0", c.DiskLimit)
 	case c.MemberLease <= 0:
 		return errors.New("controller: MemberLease: expected more than 0")
 	case c.MaxSubmissions <= 0:
@@ -119,6 +123,9 @@
 	if c.JobRetention == 0 {
 		c.JobRetention = jobRetention
 	}
+	if err := c.limitDisk(); err != nil {
+		return err
+	}
 	if err := c.Check(); err != nil {
 		return err
 	}
--- a/controller/server/disk.go
+++ b/controller/server/disk.go
@@ -33,9 +33,9 @@
 }
 
 // openDisk reads the data folder, and closes it after an error. The recovery includes the content of the newest snapshot.
-func openDisk(folder folder, report diskReport, mailbox *looper.Mailbox[driver.Event]) (*disk, recovery, error) {
+func openDisk(folder folder, segmentSize int64, report diskReport, mailbox *looper.Mailbox[driver.Event]) (*disk, recovery, error) {
 	d := &disk{mailbox: mailbox, folder: folder, report: report, queue: looper.NewOutbox[driver.Action](), saves: looper.NewOutbox[driver.Action]()}
-	d.journal = &journaler.Journal{Folder: folder, DiskID: rand.Uint64(), Log: report.log}
+	d.journal = &journaler.Journal{Folder: folder, SegmentSize: segmentSize, DiskID: rand.Uint64(), Log: report.log}
 	d.store = &snapshotter.Store{Folder: folder, Log: report.log}
 	recovered, err := d.recover()
 	if err != nil {
--- a/controller/server/fromsettings.go
+++ b/controller/server/fromsettings.go
@@ -18,6 +18,7 @@
 	// A follower that was unreachable for up to a quarter of the time between two snapshots catches up without one.
 	consensus.KeepEntries = settings.SnapshotAfter / 4
 	c := &Controller{Name: settings.Name, Zone: settings.Zone, Addr: settings.Addr, DataFolder: settings.DataFolder,
+		DiskLimit:   settings.DiskLimit,
 		MemberLease: settings.MemberLease, MaxSubmissions: settings.MaxSubmissions, MaxBatch: settings.MaxBatch,
 		MaxMessage: settings.MaxMessage, Consensus: consensus}
 	for _, peer := range settings.Peers {
--- a/controller/server/opendisk.go
+++ b/controller/server/opendisk.go
@@ -12,5 +12,5 @@
 	if err != nil {
 		return nil, recovery{}, err
 	}
-	return openDisk(opened, diskReport{log: c.Log, metrics: c.Metrics, logged: c.Logged}, c.mailbox)
+	return openDisk(opened, c.segmentSize, diskReport{log: c.Log, metrics: c.Metrics, logged: c.Logged}, c.mailbox)
 }
--- a/core/configurator/controllersettings.go
+++ b/core/configurator/controllersettings.go
@@ -20,6 +20,7 @@
 	MaxSubmissions  int            `yaml:"MaxSubmissions"`  // limit of stored submission records
 	MaxBatch        int            `yaml:"MaxBatch"`        // limit of proposals in one write to the log
 	SnapshotAfter   int            `yaml:"SnapshotAfter"`   // number of log entries between two snapshots
+	DiskLimit       ByteSize       `yaml:"DiskLimit"`       // room for DataFolder; 0 for no limit
 }
 
 // maxControllers is the largest number of hosts that may be reserved for controllers.
@@ -64,6 +65,9 @@
 	inRange(c, "MaxSubmissions", s.MaxSubmissions, 1_000, specifier.MaxSubmissions)
 	inRange(c, "MaxBatch", s.MaxBatch, 1, specifier.MaxBatch)
 	inRange(c, "SnapshotAfter", s.SnapshotAfter, 100, 10_000_000)
+	if s.DiskLimit != 0 {
+		inRange(c, "DiskLimit", s.DiskLimit, 64*Mebibyte, 1024*Gibibyte)
+	}
 	used.add(c, "Addr", s.Addr, s.Addr)
 	used.add(c, "MetricsAddr", s.Addr, s.MetricsAddr)
 }
--- a/state/replicator/check_test.go
+++ b/state/replicator/check_test.go
@@ -26,9 +26,14 @@
 		"ElectionTimeout": func(n *Node) { n.Settings.ElectionTimeout = n.Settings.Lease },
 		"MaxInflight":     func(n *Node) { n.Settings.MaxInflight = 0 },
 		"KeepEntries":     func(n *Node) { n.Settings.KeepEntries = -1 },
-		"first index 2":   func(n *Node) { n.Recovered.Entries = []Entry{{Index: 2}} },
-		"index 3":         func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1}, {Index: 3}} },
-		"term decreases":  func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1, Term: 2}, {Index: 2, Term: 1}} },
+		"SnapshotBytes":   func(n *Node) { n.Settings.SnapshotBytes = 0 },
+		"KeepBytes":       func(n *Node) { n.Settings.KeepBytes = -1 },
+		"MaxLog": func(n *Node) {
+			n.Settings.MaxLog = n.Settings.SnapshotBytes + n.Settings.KeepBytes + n.Settings.MaxEntry
+		},
+		"first index 2":  func(n *Node) { n.Recovered.Entries = []Entry{{Index: 2}} },
+		"index 3":        func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1}, {Index: 3}} },
+		"term decreases": func(n *Node) { n.Recovered.Entries = []Entry{{Index: 1, Term: 2}, {Index: 2, Term: 1}} },
 	} {
 		t.Run(field, func(t *testing.T) {
 			node := valid()
--- a/state/replicator/disk.go
+++ b/state/replicator/disk.go
@@ -28,7 +28,7 @@
 	if from <= n.commit {
 		panic(errors.AssertionFailedf("log conflicts at index %d, committed up to %d", from, n.commit))
 	}
-	n.log.truncate(from)
+	n.unsavedBytes += n.log.truncate(from) // the journal holds the removed entries until it is compacted
 	if n.members.truncate(from) {
 		n.membersChanged()
 	}
@@ -45,7 +45,7 @@
 	n.members.reset(snapshot)
 	n.membersChanged()
 	n.snapshot, n.saving = snapshot, Snapshot{}
-	n.commit, n.applied = snapshot.Index, snapshot.Index
+	n.commit, n.applied, n.unsavedBytes = snapshot.Index, snapshot.Index, 0
 	n.synced = 0
 	write := n.nextWrite()
 	n.pendingWrites = []logWrite{{write: write, last: snapshot.Index, issuedAt: n.now}}
@@ -76,13 +76,18 @@
 		limit = min(limit, max(n.synced, n.applied))
 	}
 	if limit > n.applied {
-		n.emit(Apply{Entries: n.log.slice(n.applied+1, limit)})
+		entries := n.log.slice(n.applied+1, limit)
+		n.emit(Apply{Entries: entries})
 		n.applied = limit
+		n.unsavedBytes += sizeOf(entries)
 	}
 }
 
 func (n *Node) snapshotDue() bool {
-	return n.saving.Index == 0 && n.applied >= n.snapshot.Index+Index(n.Settings.SnapshotEvery)
+	if n.saving.Index != 0 || n.applied == n.snapshot.Index {
+		return false
+	}
+	return n.applied >= n.snapshot.Index+Index(n.Settings.SnapshotEvery) || n.unsavedBytes >= n.Settings.SnapshotBytes
 }
 
 func (n *Node) saveSnapshot() {
@@ -91,6 +96,7 @@
 	}
 	term, _ := n.log.term(n.applied)
 	n.saving = Snapshot{Index: n.applied, Term: term, Servers: n.members.serversAt(n.applied)}
+	n.unsavedBytes = 0
 	n.emit(SaveSnapshot{Snapshot: n.saving})
 }
 
@@ -99,7 +105,7 @@
 		return
 	}
 	n.snapshot, n.saving = n.saving, Snapshot{}
-	through := index - min(index, Index(n.Settings.KeepEntries))
+	through := n.log.keep(index, n.Settings.KeepEntries, n.Settings.KeepBytes)
 	if through <= n.log.base {
 		return
 	}
--- a/state/replicator/entry.go
+++ b/state/replicator/entry.go
@@ -12,5 +12,14 @@
 // size estimates how many bytes the entry adds to a message.
 func (e Entry) size() int { return len(e.Data) + 64*len(e.Servers) + entryOverhead }
 
+// sizeOf returns the size of all entries.
+func sizeOf(entries []Entry) int {
+	total := 0
+	for _, entry := range entries {
+		total += entry.size()
+	}
+	return total
+}
+
 // entryOverhead is the maximum size in bytes of the encoded index, term and kind with their tags and lengths.
 const entryOverhead = 32
--- a/state/replicator/entrylog.go
+++ b/state/replicator/entrylog.go
@@ -8,6 +8,7 @@
 	base     Index
 	baseTerm Term
 	entries  []Entry
+	bytes    int // size of the entries
 }
 
 // last returns the index of the newest entry.
@@ -48,18 +49,39 @@
 	return l.slice(from, to-1)
 }
 
-func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
+}
 
-// truncate removes the entry at from and all later ones.
-func (l *entryLog) truncate(from Index) { l.entries = slices.Clip(l.entries[:from-l.base-1]) }
+// truncate removes the entry at from and all later ones, and returns their size.
+func (l *entryLog) truncate(from Index) int {
+	removed := sizeOf(l.entries[from-l.base-1:])
+	l.entries = slices.Clip(l.entries[:from-l.base-1])
+	l.bytes -= removed
+	return removed
+}
 
 // compact removes the entries up to and including through.
 func (l *entryLog) compact(through Index) {
 	term, _ := l.term(through)
+	l.bytes -= sizeOf(l.entries[:through-l.base])
 	l.entries = slices.Clone(l.entries[through-l.base:])
 	l.base, l.baseTerm = through, term
 }
 
+// keep returns the index before the entries that end at index and number at most count with at most size bytes.
+func (l *entryLog) keep(index Index, count, size int) Index {
+	first := index
+	for ; first > l.base && index-first < Index(count); first-- {
+		size -= l.entries[first-l.base-1].size()
+		if size < 0 {
+			break
+		}
+	}
+	return first
+}
+
 // reset empties the log and sets its base to the position of a snapshot.
 func (l *entryLog) reset(index Index, term Term) { *l = entryLog{base: index, baseTerm: term} }
 
--- a/state/replicator/invariants_test.go
+++ b/state/replicator/invariants_test.go
@@ -50,6 +50,9 @@
 		if err := v.checkElection(h); err != nil {
 			return err
 		}
+		if err := v.checkLogSize(h, actions); err != nil {
+			return err
+		}
 	}
 	if err := v.checkCommit(h, hosts); err != nil {
 		return err
@@ -75,6 +78,20 @@
 	return nil
 }
 
+// checkLogSize checks that proposals do not extend a leader's log beyond MaxLog. A change of the members may.
+func (v *invariants) checkLogSize(h *host, actions []Action) error {
+	for _, action := range actions {
+		appended, ok := action.(Append)
+		if ok && appended.Entries[0].Kind == Data && h.node.log.bytes > h.node.Settings.MaxLog+maxMembership {
+			return fmt.Errorf("log size: %v holds %d bytes of entries, expected at most %d", h.id, h.node.log.bytes, h.node.Settings.MaxLog)
+		}
+	}
+	return nil
+}
+
+// maxMembership is more than the size of a membership entry in these tests.
+const maxMembership = 1024
+
 // checkMessageSize checks that one message holds at most MaxAppend bytes of entries, unless it holds a single entry.
 func (v *invariants) checkMessageSize(h *host, action Action) error {
 	send, _ := action.(Send)
--- a/state/replicator/leadership.go
+++ b/state/replicator/leadership.go
@@ -13,6 +13,7 @@
 	heartbeatAt      time.Time
 	firstIndex       Index // index of the blank entry of the leader's term
 	pending          []proposal
+	pendingBytes     int // size of the pending proposals
 	uncommittedBytes int // size of the pending proposals and the uncommitted entries
 	transferTarget   ServerID
 	transferDeadline time.Time // zero unless a transfer is in progress
--- a/state/replicator/node.go
+++ b/state/replicator/node.go
@@ -40,6 +40,7 @@
 	synced        Index    // last durable entry
 	snapshot      Snapshot // the newest durable snapshot
 	saving        Snapshot // the snapshot that is being saved; its Index is zero if there is none
+	unsavedBytes  int      // bytes of entries that were applied or truncated since the state of the newest snapshot was captured
 
 	// State of a follower, reset for each term.
 	verified     Index  // the log equals the leader's up to this entry
--- a/state/replicator/reason.go
+++ b/state/replicator/reason.go
@@ -7,7 +7,7 @@
 const (
 	NotLeader     Reason = "NotLeader"     // ask the leader that Refused names, if any
 	NotReady      Reason = "NotReady"      // the leader has not applied an entry of its term or has no lease
-	Full          Reason = "Full"          // too many bytes are uncommitted; retry later
+	Full          Reason = "Full"          // too many bytes are uncommitted, or the log waits for a snapshot; retry later
 	TooLarge      Reason = "TooLarge"      // the data exceeds MaxEntry
 	Transferring  Reason = "Transferring"  // another server is about to lead
 	ChangePending Reason = "ChangePending" // the previous membership change is not committed
--- a/state/replicator/request.go
+++ b/state/replicator/request.go
@@ -25,12 +25,15 @@
 		reason = TooLarge
 	case n.lead.uncommittedBytes+len(event.Data) > n.Settings.MaxPending:
 		reason = Full
+	case n.log.bytes+n.lead.pendingBytes+len(event.Data)+entryOverhead > n.Settings.MaxLog:
+		reason = Full
 	}
 	if reason != "" {
 		n.refuse(event.Ticket, reason)
 		return
 	}
 	n.lead.uncommittedBytes += len(event.Data)
+	n.lead.pendingBytes += len(event.Data) + entryOverhead
 	n.lead.pending = append(n.lead.pending, proposal{ticket: event.Ticket, data: event.Data})
 }
 
@@ -46,6 +49,6 @@
 		entries = append(entries, Entry{Index: index, Term: n.state.Term, Kind: Data, Data: each.data})
 		n.emit(Proposed{Ticket: each.ticket, Index: index, Term: n.state.Term})
 	}
-	n.lead.pending = nil
+	n.lead.pending, n.lead.pendingBytes = nil, 0
 	n.appendEntries(entries)
 }
--- a/state/replicator/settings.go
+++ b/state/replicator/settings.go
@@ -16,7 +16,12 @@
 	MaxInflight     int           // maximum unacknowledged messages with entries to one peer
 	MaxPending      int           // maximum bytes of proposals that are not committed
 	SnapshotEvery   int           // number of entries applied between two snapshots
+	SnapshotBytes   int           // bytes of entries applied between two snapshots, when fewer than SnapshotEvery entries have them
 	KeepEntries     int           // number of entries kept before a snapshot, for followers that are slightly behind
+	KeepBytes       int           // maximum bytes of the entries kept before a snapshot
+	// MaxLog is the number of bytes of entries beyond which a leader refuses proposals. The log then waits for a snapshot, for which the
+	// disk must still have room.
+	MaxLog int
 	// MinVoters is the number of voters from which on their number is kept odd, so that one part of the servers keeps a majority
 	// when they are split in half. The learner that is left over is promoted when a voter is lost. 0 promotes every learner.
 	MinVoters int
@@ -36,7 +41,10 @@
 		MaxInflight:     16,
 		MaxPending:      16 << 20,
 		SnapshotEvery:   20_000,
+		SnapshotBytes:   64 << 20,
 		KeepEntries:     5_000,
+		KeepBytes:       16 << 20,
+		MaxLog:          256 << 20,
 	}
 }
 
@@ -55,7 +63,7 @@
 		value int
 	}{
 		{"MaxEntry", s.MaxEntry}, {"MaxAppend", s.MaxAppend}, {"MaxInflight", s.MaxInflight},
-		{"MaxPending", s.MaxPending}, {"SnapshotEvery", s.SnapshotEvery},
+		{"MaxPending", s.MaxPending}, {"SnapshotEvery", s.SnapshotEvery}, {"SnapshotBytes", s.SnapshotBytes},
 	} {
 		if bound.value < 1 {
 			return errors.Newf("%s: got %d, expected at least 1", bound.name, bound.value)
@@ -64,6 +72,10 @@
 	switch {
 	case s.KeepEntries < 0:
 		return errors.Newf("KeepEntries: got %d, expected at least 0", s.KeepEntries)
+	case s.KeepBytes < 0:
+		return errors.Newf("KeepBytes: got %d, expected at least 0", s.KeepBytes)
+	case s.MaxLog < s.minMaxLog():
+		return errors.Newf("MaxLog: got %d, expected at least %d, or no snapshot is due in a full log", s.MaxLog, s.minMaxLog())
 	case s.MinVoters < 0:
 		return errors.Newf("MinVoters: got %d, expected at least 0", s.MinVoters)
 	case s.MinVoters > 0 && s.StandbyTimeout <= s.Lease:
@@ -71,3 +83,9 @@
 	}
 	return nil
 }
+
+// minMaxLog returns the least MaxLog with which a proposal is refused only while a snapshot is due. After a snapshot, a log holds at most
+// KeepBytes; with SnapshotBytes more, the next snapshot is due.
+func (s Settings) minMaxLog() int {
+	return s.KeepBytes + s.SnapshotBytes + s.MaxEntry + entryOverhead
+}
