Refuse jobs that must be recorded before their records fill the disks

Cause: nothing bounded the records of jobs by their size. A state beyond 96 MiB could not even be read back.

Change: the recorder accounts for the bytes of its records. A job that is sent again is still known, and jobs that need not be recorded are accepted as before.

--- a/controller/dispatcher/admission.go
+++ b/controller/dispatcher/admission.go
@@ -30,6 +30,9 @@
 	if d.waitingTasks+j.TaskCount() > d.Settings.MaxWaiting {
 		return specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: d.retryAfter(p), Detail: "too many tasks wait"}, true
 	}
+	if d.recordsFull(j) {
+		return specifier.QueueReply{Result: specifier.QueueRefused, RetryAfter: d.retryAfter(p), Detail: "too many jobs are recorded"}, true
+	}
 	if !j.Transient || !d.recoveryUntil.IsZero() && !d.trusting || d.cores(p) == 0 {
 		return specifier.QueueReply{}, false
 	}
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -18,6 +18,7 @@
 	case command.Manifest != nil:
 		d.manifestChanged(command.Manifest)
 	case command.Accept != nil:
+		d.recordDecided(*command.Accept)
 		d.accepted(command.Accept.ID)
 	case command.Cancel != "":
 		d.cancelled(command.Cancel)
@@ -139,6 +140,7 @@
 		}
 		delete(d.manifestWaiters, command.Manifest.Version)
 	case command.Accept != nil:
+		d.recordDecided(*command.Accept)
 		if j := d.jobs[command.Accept.ID]; j != nil && !j.recorded {
 			d.answer(j, busy)
 			d.answerInRemovedQueue(j, busy)
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -51,6 +51,8 @@
 	trusting     bool   // in this recovery, a job that was not announced is new
 	heldJobs     []*job // jobs that start nothing before the recovery has ended
 
+	unrecordedBytes int // size of the records that are proposed and not applied
+
 	rejectedEnds []specifier.TaskEnd // ends of tasks that the log did not accept
 	retryEndsAt  time.Time           // when rejectedEnds are proposed again
 
--- a/controller/dispatcher/leadership.go
+++ b/controller/dispatcher/leadership.go
@@ -23,7 +23,7 @@
 	d.waitingTasks, d.heldJobs, d.announcer = 0, nil, announcer{}
 	d.timers = container.Heap[timer]{Less: earlier}
 	d.manifestWaiters, d.orders = make(map[uint64][]waiter), make(map[*agent]*specifier.LeaseOrder)
-	d.orderedAgents, d.rejectedEnds = nil, nil
+	d.orderedAgents, d.rejectedEnds, d.unrecordedBytes = nil, nil, 0
 	d.evacuations, d.surveyAt, d.strandedTasks = nil, time.Time{}, nil
 }
 
--- a/controller/dispatcher/settings.go
+++ b/controller/dispatcher/settings.go
@@ -21,6 +21,7 @@
 	ResendAfter time.Duration
 	KeepAfter   time.Duration // how long an ended or abandoned transient job is kept for a resubmission
 	MaxWaiting  int           // bound on the tasks that wait for a worker; jobs beyond it are refused
+	MaxRecorded int           // bytes of records beyond which jobs that must be recorded are refused
 	// StaleAfter is how long an agent may be silent before no task is started there; longer where agents renew less often.
 	StaleAfter time.Duration
 	// Admission refuses transient jobs that would not end in time to be of use.
@@ -38,6 +39,7 @@
 		BlockedAfter: 100 * time.Millisecond,
 		KeepAfter:    4 * time.Second,
 		MaxWaiting:   20_000,
+		MaxRecorded:  64 << 20, // with the manifest, a snapshot takes less than jobrecorder can read
 		StaleAfter:   300 * time.Millisecond,
 		Admission:    admitter.ByObjective{},
 	}
@@ -62,6 +64,9 @@
 	if s.MaxWaiting < 1 {
 		return errors.Newf("MaxWaiting: got %d, expected at least 1", s.MaxWaiting)
 	}
+	if s.MaxRecorded < 1 {
+		return errors.Newf("MaxRecorded: got %d, expected at least 1", s.MaxRecorded)
+	}
 	if s.Admission == nil {
 		return errors.New("Admission: is not set")
 	}
--- a/controller/dispatcher/submit.go
+++ b/controller/dispatcher/submit.go
@@ -41,7 +41,7 @@
 	d.addWaiter(from, j)
 	d.emit(LogEvent{Event: "JobArrived", Job: id, Queue: queue.Name, Count: j.remaining, Age: j.criticalPath})
 	if !definition.Transient {
-		d.propose(specifier.QueueCommand{Accept: &definition})
+		d.proposeRecord(definition)
 		return
 	}
 	d.begin(j, call.Resubmitted)
--- a/state/jobrecorder/image.go
+++ b/state/jobrecorder/image.go
@@ -99,8 +99,8 @@
 func (r *Recorder) loadJob(encoded *encoder.QueueRecord) error {
 	state := specifier.QueueState(encoded.State)
 	if state.Ended() {
-		r.jobs[encoded.GetJob().GetID()] = &Record{State: state, Ended: time.Unix(0, encoded.Ended),
-			Job: specifier.QueuedJob{ID: encoded.GetJob().GetID(), Queue: encoded.GetJob().GetQueue(), Terms: encoder.DecodeTerms(encoded.GetJob())}}
+		r.add(&Record{State: state, Ended: time.Unix(0, encoded.Ended),
+			Job: specifier.QueuedJob{ID: encoded.GetJob().GetID(), Queue: encoded.GetJob().GetQueue(), Terms: encoder.DecodeTerms(encoded.GetJob())}})
 		r.endedJobs = append(r.endedJobs, encoded.GetJob().GetID())
 		return nil
 	}
@@ -129,6 +129,6 @@
 		task := position{int(end.Step), int(end.Index)}
 		record.failed[task] = append(record.failed[task], end.Run)
 	}
-	r.jobs[job.ID] = record
+	r.add(record)
 	return nil
 }
--- a/state/jobrecorder/record.go
+++ b/state/jobrecorder/record.go
@@ -16,6 +16,7 @@
 
 	remaining int                   // tasks that are not done
 	failed    map[position][]uint64 // failed runs of each task
+	size      int                   // bytes that the record takes in a snapshot, about
 }
 
 func newRecord(job specifier.QueuedJob) *Record {
--- a/state/jobrecorder/recorder.go
+++ b/state/jobrecorder/recorder.go
@@ -17,6 +17,7 @@
 	now            time.Time // the log's clock, which starts at time.Unix(0, 0) and advances by commands
 	manifest       *specifier.Manifest
 	jobs           map[string]*Record
+	recordedBytes  int      // size of all records
 	endedJobs      []string // IDs of ended jobs, oldest first
 	enrolledAgents map[string]bool
 	announced      map[string]time.Time          // until when each announced job is remembered
@@ -82,7 +83,7 @@
 		}
 	case command.Accept != nil:
 		if r.jobs[command.Accept.ID] == nil {
-			r.jobs[command.Accept.ID] = newRecord(*command.Accept)
+			r.add(newRecord(*command.Accept))
 		}
 	case command.Cancel != "":
 		r.endJob(command.Cancel, specifier.JobCancelled)
@@ -128,6 +129,7 @@
 	case specifier.EndFailed:
 		task := position{end.Step, end.Index}
 		record.failed[task] = append(record.failed[task], end.Run)
+		r.resize(record, record.size+failureOverhead)
 		if len(record.failed[task]) >= max(r.QueueOf(record).MaxAttempts, 1) {
 			r.endJob(end.Job, specifier.JobFailed)
 		}
@@ -147,17 +149,25 @@
 func (r *Recorder) keepTerms() {
 	for _, record := range r.jobs {
 		if record.Job.Terms.Name == "" {
-			record.Job.Terms, _ = r.manifest.QueueByName(record.Job.Queue)
+			r.setTerms(record)
 		}
 	}
 }
 
+// setTerms stores the present terms with a job.
+func (r *Recorder) setTerms(record *Record) {
+	before := endedSize(record.Job)
+	record.Job.Terms, _ = r.manifest.QueueByName(record.Job.Queue)
+	r.resize(record, record.size+endedSize(record.Job)-before)
+}
+
 func (r *Recorder) endJob(id string, state specifier.QueueState) {
 	record := r.jobs[id]
 	if record == nil || record.State.Ended() {
 		return
 	}
 	record.end(state, r.now)
+	r.resize(record, endedSize(record.Job))
 	r.endedJobs = append(r.endedJobs, id)
 }
 
@@ -170,7 +180,7 @@
 		}
 	}
 	for len(r.endedJobs) > 0 && r.jobs[r.endedJobs[0]].Ended.Add(r.Retention).Before(r.now) {
-		delete(r.jobs, r.endedJobs[0])
+		r.remove(r.endedJobs[0])
 		r.endedJobs = r.endedJobs[1:]
 	}
 }
--- a/state/jobrecorder/recorder_test.go
+++ b/state/jobrecorder/recorder_test.go
@@ -38,6 +38,16 @@
 	recorder.Apply(specifier.QueueCommand{Ends: []specifier.TaskEnd{{Job: "a", Step: step, Index: index, Run: run, Kind: kind}}})
 }
 
+// reload returns the recorder that a controller reads from a snapshot.
+func reload(t *testing.T, r *Recorder) *Recorder {
+	t.Helper()
+	var data bytes.Buffer
+	must.NoError(t, Write(&data, r.Image()))
+	restored, err := Read(bufio.NewReader(&data), retention)
+	must.NoError(t, err)
+	return restored
+}
+
 func assertState(t *testing.T, recorder *Recorder, want specifier.QueueState) {
 	t.Helper()
 	must.NotNil(t, recorder.Job("a"))
@@ -173,10 +183,7 @@
 	t.Run("after a snapshot", func(t *testing.T) {
 		recorder := newRecorder()
 		removeQueue(recorder)
-		var data bytes.Buffer
-		must.NoError(t, Write(&data, recorder.Image()))
-		restored, err := Read(bufio.NewReader(&data), retention)
-		must.NoError(t, err)
+		restored := reload(t, recorder)
 		must.Eq(t, 2, restored.QueueOf(restored.Job("a")).MaxAttempts)
 	})
 	t.Run("defined again", func(t *testing.T) {
@@ -199,14 +206,6 @@
 		}
 		must.False(t, r.Evacuated("other"))
 	}
-	reload := func(t *testing.T, r *Recorder) *Recorder {
-		t.Helper()
-		var data bytes.Buffer
-		must.NoError(t, Write(&data, r.Image()))
-		restored, err := Read(bufio.NewReader(&data), retention)
-		must.NoError(t, err)
-		return restored
-	}
 	r := New(retention)
 	mustHave(t, r, 0)
 	t.Run("none in a state without the fields", func(t *testing.T) { // guards against an old snapshot that can't be read
