controller/dispatcher: refuse a manifest for good that the log can never take

What callers saw: an operator whose manifest exceeds the largest log entry is answered 503 and told to come back, each time.

Cause: the dispatcher was told that the log rejected a command, but not why.

Change: Rejected says whether the command is too large. Such a manifest is invalid (400).

--- a/controller/dispatcher/announcer_test.go
+++ b/controller/dispatcher/announcer_test.go
@@ -124,7 +124,7 @@
 func TestRejectedAnnouncementsAreRepeatedLater(t *testing.T) {
 	f := newAnnouncing(t, 1)
 	_, proposed := f.submitUncommitted("a", 0)
-	must.SliceEmpty(t, find[Propose](f.d.Step(f.now, Rejected(proposed[0]))))
+	must.SliceEmpty(t, find[Propose](f.d.Step(f.now, Rejected{Command: proposed[0].Command})))
 	f.now = f.now.Add(announceRetryInterval)
 	must.SliceLen(t, 1, find[Propose](f.d.Expire(f.now)))
 }
--- a/controller/dispatcher/commit.go
+++ b/controller/dispatcher/commit.go
@@ -46,10 +46,7 @@
 
 func (d *Dispatcher) manifestChanged(manifest *specifier.Manifest) {
 	d.emit(LogEvent{Event: "ManifestInForce", Count: int(d.Recorder.Manifest().Version)})
-	for _, from := range d.manifestWaiters[manifest.Version] {
-		d.reply(from, specifier.QueueReply{Result: specifier.QueueOK})
-	}
-	delete(d.manifestWaiters, manifest.Version)
+	d.answerManifest(manifest.Version, specifier.QueueReply{Result: specifier.QueueOK})
 	for _, j := range d.jobs {
 		if queue, known := d.Recorder.Manifest().QueueByName(j.Queue); known {
 			j.queue = queue
@@ -131,14 +128,14 @@
 }
 
 // commandRejected answers the callers of a command that the log did not accept; they may repeat the call. Ends of tasks are proposed again.
-func (d *Dispatcher) commandRejected(command specifier.QueueCommand) {
+func (d *Dispatcher) commandRejected(event Rejected) {
+	command := event.Command
 	busy := specifier.QueueReply{Result: specifier.QueueUnavailable, Detail: "the log does not take the change now"}
 	switch {
+	case command.Manifest != nil && event.TooLarge:
+		d.answerManifest(command.Manifest.Version, specifier.QueueReply{Result: specifier.QueueInvalid, Detail: "the manifest is too large for the log"})
 	case command.Manifest != nil:
-		for _, from := range d.manifestWaiters[command.Manifest.Version] {
-			d.reply(from, busy)
-		}
-		delete(d.manifestWaiters, command.Manifest.Version)
+		d.answerManifest(command.Manifest.Version, busy)
 	case command.Accept != nil:
 		d.recordDecided(*command.Accept)
 		if j := d.jobs[command.Accept.ID]; j != nil && !j.recorded {
--- a/controller/dispatcher/dispatcher.go
+++ b/controller/dispatcher/dispatcher.go
@@ -75,7 +75,7 @@
 	case Applied:
 		d.apply(event.Command)
 	case Rejected:
-		d.commandRejected(event.Command)
+		d.commandRejected(event)
 	case CallReceived:
 		d.handleCall(event)
 	case CallerDisconnected:
--- a/controller/dispatcher/end_test.go
+++ b/controller/dispatcher/end_test.go
@@ -36,7 +36,7 @@
 	key := f.starts()[0].Key
 	proposed := find[Propose](f.reportEnd(1, key, specifier.EndDone))
 	must.SliceLen(t, 1, proposed)
-	must.SliceEmpty(t, find[Propose](f.d.Step(f.now, Rejected(proposed[0]))))
+	must.SliceEmpty(t, find[Propose](f.d.Step(f.now, Rejected{Command: proposed[0].Command})))
 	f.leading = false
 	f.advance(recordRetryInterval)
 	must.SliceEmpty(t, find[Propose](f.actions))
--- a/controller/dispatcher/evacuation_test.go
+++ b/controller/dispatcher/evacuation_test.go
@@ -42,7 +42,7 @@
 		call := z.evacuate("a")
 		z.submit("x", 1, false)
 		z.mustStartAt()
-		z.step(Rejected{z.proposed[0]})
+		z.step(Rejected{Command: z.proposed[0]})
 		z.mustAnswer(specifier.QueueUnavailable, call)
 		z.mustStartAt(1)
 	})
--- a/controller/dispatcher/manifest.go
+++ b/controller/dispatcher/manifest.go
@@ -16,6 +16,14 @@
 	d.propose(specifier.QueueCommand{Manifest: manifest})
 }
 
+// answerManifest answers the calls that wait for a manifest.
+func (d *Dispatcher) answerManifest(version uint64, reply specifier.QueueReply) {
+	for _, from := range d.manifestWaiters[version] {
+		d.reply(from, reply)
+	}
+	delete(d.manifestWaiters, version)
+}
+
 func (d *Dispatcher) getManifest(from waiter) {
 	manifest := d.Recorder.Manifest()
 	if manifest.Version == 0 {
--- a/controller/dispatcher/recordroom_test.go
+++ b/controller/dispatcher/recordroom_test.go
@@ -63,7 +63,7 @@
 	must.SliceLen(t, 2, proposed)
 	f.mustReply(specifier.QueueRefused)
 	for _, each := range proposed {
-		f.d.Step(f.now, Rejected(each))
+		f.d.Step(f.now, Rejected{Command: each.Command})
 	}
 	must.Zero(t, f.d.unrecordedBytes)
 	f.submitRecorded("later")
--- a/controller/dispatcher/removedqueue_test.go
+++ b/controller/dispatcher/removedqueue_test.go
@@ -113,7 +113,7 @@
 	})
 	t.Run("cancelled before the log rejects it", func(t *testing.T) { // guards against a cancellation that gets no answer
 		f, accept, _ := cancelledWhileUnrecorded(t)
-		f.step(Rejected(accept))
+		f.step(Rejected{Command: accept.Command})
 		replies := find[Reply](f.actions)
 		must.Len(t, 2, replies) // to the submission and the cancellation
 		must.Eq(t, specifier.QueueUnavailable, replies[1].Reply.Result)
--- a/controller/driver/driver.go
+++ b/controller/driver/driver.go
@@ -175,7 +175,7 @@
 				continue
 			}
 			if action.Ticket >= queueTicketBase && action.Ticket < transferTicketBase {
-				d.queueCommandRefused(now, action.Ticket)
+				d.queueCommandRefused(now, action)
 				continue
 			}
 			if action.Ticket >= transferTicketBase {
--- a/controller/driver/queues.go
+++ b/controller/driver/queues.go
@@ -40,10 +40,10 @@
 }
 
 // queueCommandRefused reports to the dispatcher that the log did not accept a command.
-func (d *Driver) queueCommandRefused(now time.Time, ticket replicator.Ticket) {
-	command := d.proposedCommands[ticket]
-	delete(d.proposedCommands, ticket)
-	d.queue(now, d.Dispatcher.Step(now, dispatcher.Rejected{Command: command}))
+func (d *Driver) queueCommandRefused(now time.Time, refused replicator.Refused) {
+	command := d.proposedCommands[refused.Ticket]
+	delete(d.proposedCommands, refused.Ticket)
+	d.queue(now, d.Dispatcher.Step(now, dispatcher.Rejected{Command: command, TooLarge: refused.Reason == replicator.TooLarge}))
 }
 
 // enoughVoters reports whether the log has at least MinVoters voters.
--- a/local/simulator/fakeleader_test.go
+++ b/local/simulator/fakeleader_test.go
@@ -30,7 +30,7 @@
 			if w.faultOccurs(droppedProposalShare) {
 				w.after(0, func() {
 					if w.leaderIndex == l.index && l.term == term {
-						l.step(dispatcher.Rejected(action))
+						l.step(dispatcher.Rejected{Command: action.Command})
 					}
 				})
 				continue
