--- a/state/replicator/disk.go
+++ b/state/replicator/disk.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 func (n *Node) nextWrite() Write {
 	n.lastIssued++
@@ -105,6 +109,9 @@
 		return
 	}
 	n.snapshot, n.saving = n.saving, Snapshot{}
+	if n.role == Leader {
+		n.lead.fullSince = time.Time{}
+	}
 	through := n.log.keep(index, n.Settings.KeepEntries, n.Settings.KeepBytes)
 	if through <= n.log.base {
 		return
--- a/state/replicator/lead.go
+++ b/state/replicator/lead.go
@@ -66,7 +66,7 @@
 	if n.lead.heartbeatAt.After(n.now) {
 		return
 	}
-	if target := n.bestSuccessor(); n.diskStalled() && !target.IsZero() {
+	if target := n.bestSuccessor(); (n.diskStalled() || n.snapshotStalled()) && !target.IsZero() {
 		n.transferLeadership(target)
 		return
 	}
@@ -83,6 +83,16 @@
 	return len(n.pendingWrites) > 0 && !n.now.Before(n.pendingWrites[0].issuedAt.Add(n.Settings.ElectionTimeout))
 }
 
+// snapshotStallTimeouts is how many election timeouts a full log may wait for its snapshot. A large state on a slow disk takes seconds.
+const snapshotStallTimeouts = 10
+
+// snapshotStalled reports whether the log has refused proposals for long because the leader's snapshot is not saved. Another server may have
+// saved its own.
+func (n *Node) snapshotStalled() bool {
+	since := n.lead.fullSince
+	return !since.IsZero() && !n.now.Before(since.Add(snapshotStallTimeouts*n.Settings.ElectionTimeout))
+}
+
 // heartbeat sends an AppendEntries without entries. To a streaming peer, the message names the last entry sent, so that
 // the peer detects the loss of that entry even if no other entry follows.
 func (n *Node) heartbeat(peer *peer) {
--- a/state/replicator/leadership.go
+++ b/state/replicator/leadership.go
@@ -13,8 +13,9 @@
 	heartbeatAt      time.Time
 	firstIndex       Index // index of the blank entry of the leader's term
 	pending          []proposal
-	pendingBytes     int // size of the pending proposals
-	uncommittedBytes int // size of the pending proposals and the uncommitted entries
+	pendingBytes     int       // size of the pending proposals
+	fullSince        time.Time // when the first proposal was refused because the log waits for a snapshot; zero if it does not wait
+	uncommittedBytes int       // size of the pending proposals and the uncommitted entries
 	transferTarget   ServerID
 	transferDeadline time.Time // zero unless a transfer is in progress
 }
--- a/state/replicator/logsize_test.go
+++ b/state/replicator/logsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -63,6 +64,28 @@
 	assertCommits(t, c, 20)
 }
 
+// Guards against a cluster that takes no proposals for as long as the leader alone can't save its snapshot.
+func TestAnotherServerLeadsWhileTheSnapshotIsStuck(t *testing.T) {
+	c, stuck := startWithBytes(t)
+	for end := c.now.Add(2 * snapshotStallTimeouts * c.settings.ElectionTimeout); c.leading() == stuck || c.leading() == nil; {
+		c.propose(stuck)
+		for len(c.packets) > 0 {
+			c.deliver(c.removePacket(0))
+		}
+		for _, h := range c.hosts {
+			c.sync(h, len(h.disk.queue))
+			if h != stuck {
+				c.saveSnapshot(h)
+			}
+		}
+		c.advance(50 * time.Millisecond)
+		must.NoError(t, c.err)
+		must.True(t, c.now.Before(end))
+	}
+	must.Positive(t, stuck.node.saving.Index)
+	assertCommits(t, c, 20)
+}
+
 // Guards against entries of deposed leaders, which stay in the journal until it is compacted, that fill the disk without a snapshot.
 func TestTruncatedEntriesCount(t *testing.T) {
 	node := &Node{Settings: byteSettings()}
--- a/state/replicator/request.go
+++ b/state/replicator/request.go
@@ -27,6 +27,9 @@
 		reason = Full
 	case n.log.bytes+n.lead.pendingBytes+len(event.Data)+entryOverhead > n.Settings.MaxLog:
 		reason = Full
+		if n.lead.fullSince.IsZero() {
+			n.lead.fullSince = n.now
+		}
 	}
 	if reason != "" {
 		n.refuse(event.Ticket, reason)
