--- a/controller/server/logroom_test.go
+++ b/controller/server/logroom_test.go
@@ -137,6 +137,7 @@
 // go test ./controller/server -run TestManyLargeManifests -v -manifests 5000 -manifest-bytes 400000 -disk-bytes 128000000 -timeout 30m
 func TestManyLargeManifests(t *testing.T) {
 	c := newCluster(t, 3)
+	c.consensus.MaxEntry = 8 << 20 // as on the users' platform
 	rooms := c.limitDisks(*diskSize)
 	c.begin()
 	last := manifest(0, *manifestSize)
