--- a/controller/server/logroom_test.go
+++ b/controller/server/logroom_test.go
@@ -79,14 +79,14 @@
 	}
 }
 
-// mustCallQueues sends a call to the controllers in turn until one answers that it is done.
-func (c *cluster) mustCallQueues(call specifier.QueueCall) specifier.QueueReply {
+// mustCallQueues sends a call to the controllers in turn until one answers with one of the results.
+func (c *cluster) mustCallQueues(call specifier.QueueCall, results ...specifier.QueueResult) specifier.QueueReply {
 	c.t.Helper()
 	var reply specifier.QueueReply
 	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 		for i := range c.running {
 			var err error
-			if reply, err = c.callQueues(i, call); err == nil && reply.Result == specifier.QueueOK {
+			if reply, err = c.callQueues(i, call); err == nil && slices.Contains(results, reply.Result) {
 				return true
 			}
 		}
@@ -97,12 +97,12 @@
 
 func (c *cluster) mustPutManifest(m *specifier.Manifest) {
 	c.t.Helper()
-	c.mustCallQueues(specifier.QueueCall{Verb: specifier.PutManifest, Manifest: m})
+	c.mustCallQueues(specifier.QueueCall{Verb: specifier.PutManifest, Manifest: m}, specifier.QueueOK)
 }
 
 func (c *cluster) mustReadManifest(want *specifier.Manifest) {
 	c.t.Helper()
-	must.Eq(c.t, want.Document, c.mustCallQueues(specifier.QueueCall{Verb: specifier.GetManifest}).Document)
+	must.Eq(c.t, want.Document, c.mustCallQueues(specifier.QueueCall{Verb: specifier.GetManifest}, specifier.QueueOK).Document)
 }
 
 // restartAll kills all controllers and starts them again.
--- a/controller/server/recordroom_test.go
+++ b/controller/server/recordroom_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/shoenig/test/wait"
 
 	"oleandertally/core/specifier"
 )
@@ -17,18 +16,7 @@
 	c.t.Helper()
 	call := specifier.QueueCall{Verb: specifier.SubmitQueued, Host: "nony24.example", Path: "/prefix-000000/" + id, TimeLeft: time.Second,
 		Job: specifier.QueuedJob{ID: id, Content: strings.Repeat("c", specifier.MaxQueuedContent), Steps: []specifier.Step{{Count: 1, Estimate: time.Second}}}}
-	var reply specifier.QueueReply
-	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-		for i := range c.running {
-			var err error
-			reply, err = c.callQueues(i, call)
-			if err == nil && (reply.Result == specifier.QueueOK || reply.Result == specifier.QueueRefused) {
-				return true
-			}
-		}
-		return false
-	}), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
-	return reply.Result == specifier.QueueOK
+	return c.mustCallQueues(call, specifier.QueueOK, specifier.QueueRefused).Result == specifier.QueueOK
 }
 
 // Guards against jobs that are recorded until the disks of all controllers are full of them. Nothing frees such disks, since a snapshot holds
