--- a/controller/server/logroom_test.go
+++ b/controller/server/logroom_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"flag"
 	"fmt"
 	"os"
@@ -43,9 +44,10 @@
 	return list
 }
 
-// manifest returns a manifest whose queues take about as many bytes as its document, as those of the users' platform do.
+// manifest returns a manifest whose queues take about as many bytes as its document. The document begins with the version.
 func manifest(version uint64, size int) *specifier.Manifest {
 	m := &specifier.Manifest{Version: version, Document: make([]byte, size/2)}
+	binary.BigEndian.PutUint64(m.Document, version)
 	for i := range size / 2 / 64 {
 		m.Queues = append(m.Queues, specifier.Queue{Name: fmt.Sprintf("queue-%06d", i), Host: "nony24.example",
 			Prefix: fmt.Sprintf("/prefix-%06d/", i), Pool: "pool", MaxAttempts: 1, Stretch: 1.5, Target: time.Second})
