--- a/controller/server/faults_test.go
+++ b/controller/server/faults_test.go
@@ -193,18 +193,14 @@
 // Guards against a controller that ends while its disk is full, acknowledges what it has not written, or does not go on once there is room.
 func TestFullDisk(t *testing.T) {
 	c := newCluster(t, 1)
-	var opened *fullFolder
-	c.openFolder = func(path string) (folder, error) {
-		disk, err := journaler.OpenDisk(path)
-		opened = &fullFolder{Disk: disk}
-		return opened, err
-	}
+	room := c.limitDisks(testDisk)[0]
 	c.begin()
-	opened.full.Store(true)
+	room.setLimit(0)
 	_, err := c.proposeTo(0, c.accept(1))
 	must.Error(t, err)
-	must.Positive(t, int(opened.rejected.Load()))
-	opened.full.Store(false)
+	_, rejected := room.use()
+	must.Positive(t, rejected)
+	room.setLimit(testDisk)
 	must.Eq(t, specifier.Accepted, c.propose(c.accept(2)).Verdict)
 }
 
