--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -53,7 +53,8 @@
 	record  *record
 	watch   *watch
 	folder  string
-	network string // first three bytes of the addresses of a zone's machines, without the zone
+	network string // first two bytes of the machines' addresses; the third is that of the zone
+	zone    int    // third byte of the first zone's addresses
 	port    int    // the ports begin here
 	seeds   []string
 
@@ -99,10 +100,10 @@
 // choosePorts chooses a part of the loopback network in which the ports are free.
 func (s *site) choosePorts() error {
 	for range 20 {
-		s.network, s.port = fmt.Sprintf("127.%d", 60+rand.IntN(60)), 8100+16*rand.IntN(1000)
+		s.network, s.zone, s.port = fmt.Sprintf("127.%d", 60+rand.IntN(60)), 1+len(shape)*rand.IntN(80), 10000+16*rand.IntN(1000)
 		free := true
-		for port := range 16 {
-			listener, err := net.Listen("tcp", fmt.Sprintf("%s.1.1:%d", s.network, s.port+port))
+		for _, port := range append([]int{9101, 9102}, s.ports()...) {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.ip(0, 1), port))
 			if err != nil {
 				free = false
 				break
@@ -116,8 +117,17 @@
 	return fmt.Errorf("no free ports")
 }
 
+// ports returns the ports of a machine beside those of the metrics.
+func (s *site) ports() []int {
+	var list []int
+	for port := portApp; port <= portInternalLast; port++ {
+		list = append(list, s.port+port)
+	}
+	return list
+}
+
 func (s *site) ip(zone, machine int) string {
-	return fmt.Sprintf("%s.%d.%d", s.network, zone+1, machine)
+	return fmt.Sprintf("%s.%d.%d", s.network, s.zone+zone, machine)
 }
 
 func (s *site) addr(zone, machine, port int) string {
