--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -9,11 +9,10 @@
 
 // job is a job of a case's client.
 type job struct {
-	id      string
-	queue   string // prefix of its path
-	steps   []step
-	does    work
-	refused bool
+	id    string
+	queue string // prefix of its path
+	steps []step
+	does  work
 }
 
 // step is a step of a job, as the pages define it.
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -26,7 +26,7 @@
 )
 
 func main() {
-	number := flag.Int("case", 0, "number of the case")
+	number := flag.Int("case", 0, "`number` of the case, or of another finding")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "bring about the disruption")
 	trace := flag.Bool("trace", false, "print the record too")
@@ -37,6 +37,9 @@
 
 func play(number int, path string, trouble, trace, keep bool) int {
 	run := cases[number]
+	if run == nil {
+		run = others[number]
+	}
 	r, err := newRecord(path)
 	if run == nil || err != nil {
 		fmt.Println("no such case, or no record:", number, err)
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -228,6 +228,9 @@
 	return err
 }
 
+// maxAttempts is the number of runs of a task that may fail, as the manifest says.
+const maxAttempts = 3
+
 // route is a route of the manifest.
 type route struct {
 	Name             string  `json:"name"`
@@ -252,7 +255,7 @@
 	routes := []route{}
 	for priority, prefix := range []string{firstQueue, secondQueue} {
 		routes = append(routes, route{Name: fmt.Sprintf("r-%d", priority), Host: jobHost, PathPrefix: prefix, Kind: "non_idempotent", TimeoutMs: 20000,
-			TargetDurationMs: 60, Priority: priority, Service: service, MaxAttempts: 3, StretchFactor: 1.6})
+			TargetDurationMs: 60, Priority: priority, Service: service, MaxAttempts: maxAttempts, StretchFactor: 1.6})
 	}
 	services := []map[string]any{{"name": service, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "standby": false}}
 	return map[string]any{"version": version, "routes": routes, "services": services,
--- a/review/standins-3/watch.go
+++ b/review/standins-3/watch.go
@@ -25,6 +25,7 @@
 	began      bool
 	running    map[string]bool
 	done       map[string]bool
+	failures   map[string]int
 	idleSince  time.Time // since then it has nothing running although it could; zero for not
 }
 
@@ -41,7 +42,7 @@
 func (w *watch) submitted(j *job) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.jobs[j.id] = &watched{job: j, running: make(map[string]bool), done: make(map[string]bool)}
+	w.jobs[j.id] = &watched{job: j, running: make(map[string]bool), done: make(map[string]bool), failures: make(map[string]int)}
 }
 
 func (w *watch) accepted(j *job) {
@@ -77,8 +78,9 @@
 	defer w.mutex.Unlock()
 	if known := w.of(task); known != nil {
 		delete(known.running, task)
-		if how == "done" {
-			known.done[task] = true
+		known.done[task] = known.done[task] || how == "done"
+		if how == "failed" {
+			known.failures[task]++
 		}
 	}
 }
@@ -95,17 +97,6 @@
 	return resources{CPU: known.job.steps[number].CPU, Memory: known.job.steps[number].Memory}
 }
 
-// isDone reports whether all tasks of a job have ended as done.
-func (w *watch) isDone(j *job) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	known, total := w.jobs[j.id], 0
-	for _, each := range j.steps {
-		total += each.Count
-	}
-	return len(known.done) == total
-}
-
 func (w *watch) hasBegun(j *job) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -124,6 +115,16 @@
 	return len(w.jobs[j.id].running) > 0
 }
 
+// hasFailed reports whether a task has used all its attempts.
+func (k *watched) hasFailed() bool {
+	for _, failures := range k.failures {
+		if failures >= maxAttempts {
+			return true
+		}
+	}
+	return false
+}
+
 // turn returns the first step of which a task could run now: the steps before it are done.
 func (k *watched) turn() (step, bool) {
 	for number, each := range k.job.steps {
@@ -140,8 +141,8 @@
 
 func (k *watched) doneOf(step int) int {
 	count := 0
-	for task := range k.done {
-		if strings.HasPrefix(task, fmt.Sprintf("%s.0.%d.", k.job.id, step)) {
+	for task, done := range k.done {
+		if done && strings.HasPrefix(task, fmt.Sprintf("%s.0.%d.", k.job.id, step)) {
 			count++
 		}
 	}
@@ -218,7 +219,7 @@
 func (w *watch) isIdle(known *watched) bool {
 	w.mutex.Lock()
 	ready, open := known.turn()
-	busy := len(known.running) > 0
+	busy, failed := len(known.running) > 0, known.hasFailed()
 	w.mutex.Unlock()
-	return open && !busy && w.room(ready)
+	return open && !failed && !busy && w.room(ready)
 }
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -151,11 +151,12 @@
 	return w.reported
 }
 
-func (w *worker) shed(sheds bool) {
-	w.record.note("worker %s sheds starts: %v", w.id, sheds)
+// shed makes the worker answer each start with 503.
+func (w *worker) shed() {
+	w.record.note("worker %s sheds all starts from now on", w.id)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.sheds = sheds
+	w.sheds = true
 }
 
 // isUp reports whether the worker is up and takes starts.
