--- a/review/standins-3/case12.go
+++ b/review/standins-3/case12.go
@@ -1,31 +1,66 @@
 package main
 
-import "time"
+import (
+	"net/http"
+	"syscall"
+	"time"
+)
 
-// restartPause is from the end of a process that was stopped until it is started again.
-const restartPause = 500 * time.Millisecond
+const (
+	freezeTime = 5 * time.Second
+	cancelTime = 3 * time.Second // cancel_ms
+	// electionTime is longer than it takes to elect another leader.
+	electionTime = 1500 * time.Millisecond
+	// contactTime is contactMs: for so long after the core was disturbed, no machine is in touch.
+	contactTime = 3 * time.Second
+)
 
-// agentRestart: the agent beside a worker is stopped and started again. While it waits for the worker's run to end, a job is handed in
-// that requires this worker's label.
-func agentRestart(s *scene) error {
-	first := kept(1, firstQueue, work{Millis: 3000}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 3000, Requirements: loneRack})
-	second := kept(2, firstQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 200, Requirements: loneRack})
-	if err := s.submitRunning(first); err != nil {
+// revivedJob: the machine of an entry stands still, and the leading controller is killed. Meanwhile a best-effort job that the entry took
+// is cancelled through another entry.
+func revivedJob(s *scene) error {
+	j := kept(1, firstQueue, work{Millis: 10000}, step{Count: 2, CPU: 2000, Memory: 64, EstimatedMs: 10000})
+	s.watch.submitted(j)
+	last := len(s.entries) - 1
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		s.submitBestEffort(s.entries[last], j)
+	}()
+	if err := s.awaitRunning(j); err != nil {
 		return err
 	}
-	restarted := make(chan error, 1)
+	entry, leader := s.process(stoppedEntry), s.leader()
+	if leader == nil {
+		return errNoLeader
+	}
+	var thawed, disturbed time.Time
 	if s.trouble {
-		agent := s.agents[s.withLabel(loneRack).id]
-		go func() { restarted <- agent.restart(restartPause) }()
-	} else {
-		restarted <- nil
+		entry.signal(syscall.SIGSTOP)
+		thawed = time.Now().Add(freezeTime)
+		leader.signal(syscall.SIGKILL)
+		<-leader.exited
+		time.Sleep(restartPause)
+		s.record.note("%s is started again", leader.name)
+		if err := leader.start(); err != nil {
+			return err
+		}
+		disturbed = time.Now()
+		time.Sleep(electionTime - restartPause)
 	}
-	time.Sleep(time.Second)
-	if err := s.submitAll(second); err != nil {
-		return err
+	code, _, err := s.client.call(http.MethodDelete, j.queue+j.id, nil)
+	if err != nil || code/100 != 2 && code != http.StatusGone {
+		return errNotCancelled
 	}
-	if err := <-restarted; err != nil {
-		return err
+	cancelled := time.Now()
+	if s.trouble {
+		time.Sleep(time.Until(thawed))
+		entry.signal(syscall.SIGCONT)
+	}
+	<-answered
+	for _, at := range s.watch.startsOf(j) {
+		if late := at.Sub(cancelled); late > cancelTime && at.Sub(disturbed) > contactTime {
+			s.record.broken("UNASKED: a task of %s is started %.3f s after its cancelling was acknowledged with %d", j.id, late.Seconds(), code)
+		}
 	}
-	return s.judge(5*time.Second, first, second)
+	return nil
 }
--- a/review/standins-3/case13.go
+++ b/review/standins-3/case13.go
@@ -1,24 +1,32 @@
 package main
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
-// oddReport: one status report of another writer, in which a field is missing, arrives at the agent beside a worker.
-func oddReport(s *scene) error {
-	w := s.withLabel(loneRack)
-	first := kept(1, firstQueue, work{Millis: 4000}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 4000, Requirements: loneRack})
-	second := kept(2, firstQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 200, Requirements: loneRack})
-	if err := s.submitRunning(first); err != nil {
+// entryRestart: an entry is stopped and started again while a job that it took waits for room.
+func entryRestart(s *scene) error {
+	var busy []*job
+	for number, each := range s.workers {
+		busy = append(busy, kept(1+number, secondQueue, work{Millis: 30000}, step{Count: 1, CPU: each.capacity.CPU, Memory: 64, EstimatedMs: 30000}))
+	}
+	sort.Slice(busy, func(i, j int) bool { return busy[i].steps[0].CPU > busy[j].steps[0].CPU })
+	if err := s.submitRunning(busy...); err != nil {
 		return err
 	}
+	waiting := kept(101, firstQueue, work{Millis: 4000}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 4000})
+	s.watch.submitted(waiting)
+	ended := make(chan error, 1)
+	go func() { ended <- s.submitBestEffort(s.entries[len(s.entries)-1], waiting) }()
+	time.Sleep(time.Second)
 	if s.trouble {
-		odd := w.status()
-		odd["address"], odd["born"] = "127.0.0.1:9", time.Now().UnixMilli()
-		delete(odd, "slots")
-		s.record.note("another writer: PUT /-/instances/i-0dd0dd00 without slots; acknowledged: %v", w.put("i-0dd0dd00", odd))
+		if err := s.process(stoppedEntry).restart(restartPause); err != nil {
+			return err
+		}
 	}
-	time.Sleep(2 * time.Second)
-	if err := s.submitAll(second); err != nil {
-		return err
+	if err := <-ended; err != nil {
+		s.record.broken("LOST: the channel of a request that was sent 1 s before the SIGTERM has ended without an answer: %v", err)
 	}
-	return s.judge(5*time.Second, first, second)
+	return nil
 }
--- a/review/standins-3/case15.go
+++ b/review/standins-3/case15.go
@@ -2,23 +2,37 @@
 
 import "time"
 
-// largeJobs: a large job comes whose tasks fill the memory of most workers and use little of their cores.
-func largeJobs(s *scene) error {
-	large := kept(1, firstQueue, work{Millis: 40000}, step{Count: 8, CPU: 500, Memory: 28000, EstimatedMs: 40000, Requirements: "a"})
-	if !s.trouble {
-		large.steps[0].Memory = 64
-		large.steps[0].AntiAffinity = 1
+const (
+	usualJobs  = 38
+	poisonJobs = 2 // a twentieth of all
+)
+
+// workerOnProbation: two jobs fail by their own fault at the only worker that may run them. A long job runs there next, and a short one
+// waits.
+func workerOnProbation(s *scene) error {
+	one := func(number int, does work, estimate int) *job {
+		return kept(number, firstQueue, does, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: estimate, Requirements: loneRack})
 	}
-	usual := kept(2, firstQueue, work{Millis: 40000}, step{Count: 3, CPU: 12000, Memory: 64, EstimatedMs: 40000, Requirements: "b", AntiAffinity: 1})
-	if err := s.submitRunning(large, usual); err != nil {
-		return err
+	for number := range usualJobs {
+		if err := s.submitAll(one(101+number, work{Millis: 50}, 50)); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
 	}
-	var small []*job
-	for number := range 4 {
-		small = append(small, kept(101+number, secondQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 8000, EstimatedMs: 200}))
+	if s.trouble {
+		for number := range poisonJobs {
+			if err := s.submitAll(one(201+number, work{Millis: 50, Fails: true}, 50)); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(8 * time.Second)
+	long, short := one(1, work{Millis: 40000}, 40000), one(2, work{Millis: 200}, 200)
+	if err := s.submitRunning(long); err != nil {
+		return err
 	}
-	if err := s.submitAll(small...); err != nil {
+	if err := s.submitAll(short); err != nil {
 		return err
 	}
-	return s.judge(6*time.Second, small...)
+	return s.judge(5*time.Second, long, short)
 }
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -76,13 +76,3 @@
 	}
 	return body.State
 }
-
-// pending asks an entry for the number of a queue's jobs that have not begun.
-func (c *client) pending(queue string) (int, bool) {
-	code, answer, err := c.call(http.MethodGet, queue, nil)
-	var body struct{ Pending int }
-	if err != nil || code != http.StatusOK || json.Unmarshal(answer, &body) != nil {
-		return 0, false
-	}
-	return body.Pending, true
-}
--- a/review/standins-3/scene.go
+++ b/review/standins-3/scene.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -14,13 +16,27 @@
 
 // cases are the cases by number. A case returns an error if it could not run.
 var cases = map[int]func(*scene) error{
-	11: lostWorker,
-	12: agentRestart,
-	13: oddReport,
-	14: entryRestart,
-	15: largeJobs,
+	11: oddReports,
+	12: revivedJob,
+	13: entryRestart,
+	14: memoryOnly,
+	15: workerOnProbation,
 }
 
+var (
+	errNoLeader     = errors.New("no controller leads")
+	errNotCancelled = errors.New("the job's cancelling was not acknowledged")
+)
+
+const (
+	// restartPause is from the end of a process until it is started again.
+	restartPause = 500 * time.Millisecond
+	// stoppedEntry is an entry on a machine without a disk. Clients reach it as the last of the site's entries.
+	stoppedEntry = "frontend-cartago-2-entry"
+	// bestEffortMs is how long the clients of best-effort jobs wait. It is as long as the routes' timeout.
+	bestEffortMs = 20000
+)
+
 // loneRack is the label of one worker only.
 const loneRack = "r1-2"
 
@@ -39,11 +55,26 @@
 	return nil
 }
 
+// submitBestEffort hands in a best-effort job at an entry, and returns an error if the channel ends without an answer.
+func (s *scene) submitBestEffort(entry string, j *job) error {
+	began := time.Now()
+	code, answer, err := exchange(http.MethodPost, "http://"+entry+j.queue+j.id, jobHost,
+		map[string]any{"specification": j.does.encode(), "steps": j.steps, "bestEffort": true},
+		bestEffortMs*time.Millisecond+callSlack, "X-Oleandertally-Deadline-Ms", fmt.Sprint(bestEffortMs))
+	s.record.note("client: POST %s%s, best effort: after %.3f s: %d %s %v", j.queue, j.id, time.Since(began).Seconds(), code, answer, err)
+	return err
+}
+
 // submitRunning hands in jobs and waits until each has something running.
 func (s *scene) submitRunning(jobs ...*job) error {
 	if err := s.submitAll(jobs...); err != nil {
 		return err
 	}
+	return s.awaitRunning(jobs...)
+}
+
+// awaitRunning waits until each job has something running.
+func (s *scene) awaitRunning(jobs ...*job) error {
 	deadline := time.Now().Add(5 * time.Second)
 	for _, each := range jobs {
 		for !s.watch.runsNow(each) {
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"time"
 )
 
@@ -301,6 +303,37 @@
 	return nil
 }
 
+// process returns the process of that name.
+func (s *site) process(name string) *process {
+	for _, each := range s.processes {
+		if each.name == name {
+			return each
+		}
+	}
+	return nil
+}
+
+// leader returns the controller that began to lead in the newest term, by the log of each, or nil.
+func (s *site) leader() *process {
+	var found *process
+	newest := 0
+	for _, each := range s.processes {
+		content, err := os.ReadFile(each.log)
+		if err != nil {
+			continue
+		}
+		for _, match := range leaderLine.FindAllSubmatch(content, -1) {
+			if term, err := strconv.Atoi(string(match[1])); err == nil && term > newest {
+				newest, found = term, each
+			}
+		}
+	}
+	return found
+}
+
+// leaderLine is what a controller logs when it begins to lead.
+var leaderLine = regexp.MustCompile(`"Event":"BecameLeader","Term":([0-9]+)`)
+
 // withLabel returns the only worker that has a label.
 func (s *site) withLabel(label string) *worker {
 	for _, each := range s.workers {
--- a/review/standins-3/watch.go
+++ b/review/standins-3/watch.go
@@ -22,7 +22,7 @@
 type watched struct {
 	job        *job
 	acceptedAt time.Time
-	began      bool
+	starts     []time.Time
 	running    map[string]bool
 	done       map[string]bool
 	failures   map[string]int
@@ -70,7 +70,8 @@
 	if known.running[task] {
 		w.record.broken("TWICE: %s starts at %s while it runs", task, worker)
 	}
-	known.began, known.running[task] = true, true
+	known.running[task] = true
+	known.starts = append(known.starts, time.Now())
 }
 
 func (w *watch) ended(task, how string) {
@@ -97,16 +98,11 @@
 	return resources{CPU: known.job.steps[number].CPU, Memory: known.job.steps[number].Memory}
 }
 
-func (w *watch) hasBegun(j *job) bool {
+// startsOf returns when tasks of a job were started.
+func (w *watch) startsOf(j *job) []time.Time {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.jobs[j.id].began
-}
-
-func (w *watch) acceptedAt(j *job) time.Time {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.jobs[j.id].acceptedAt
+	return append([]time.Time{}, w.jobs[j.id].starts...)
 }
 
 func (w *watch) runsNow(j *job) bool {
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -60,7 +60,6 @@
 	watch    *watch
 
 	mutex    sync.Mutex
-	sheds    bool // answers each start with 503 and does nothing
 	server   *http.Server
 	born     time.Time
 	sequence int
@@ -151,19 +150,11 @@
 	return w.reported
 }
 
-// shed makes the worker answer each start with 503.
-func (w *worker) shed() {
-	w.record.note("worker %s sheds all starts from now on", w.id)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.sheds = true
-}
-
-// isUp reports whether the worker is up and takes starts.
+// isUp reports whether the worker is up.
 func (w *worker) isUp() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.server != nil && !w.sheds
+	return w.server != nil
 }
 
 // used returns the resources in use.
@@ -224,11 +215,6 @@
 		return
 	}
 	defer w.mutex.Unlock()
-	if w.sheds {
-		w.record.note("worker %s sheds the start of %s run %d", w.id, c.Task, c.RunID)
-		w.answer(to, http.StatusServiceUnavailable, map[string]any{})
-		return
-	}
 	deadline := time.Duration(c.DeadlineMs) * time.Millisecond
 	if deadline <= w.clock() {
 		w.answer(to, http.StatusConflict, map[string]any{"reason": "late"})
