--- a/review/standins-3/case11.go
+++ b/review/standins-3/case11.go
@@ -30,7 +30,7 @@
 	var list []*cancellation
 	var jobs []*job
 	for number := range 14 {
-		j := kept(1+number, firstQueue, work{Millis: 15000}, step{Count: 2, CPU: 2000, Memory: 64, EstimatedMs: 15000})
+		j := oneStep(1+number, firstQueue, work{Millis: 15000}, step{Count: 2, CPU: 2000, Memory: 64, EstimatedMs: 15000})
 		jobs, list = append(jobs, j), append(list, &cancellation{job: j})
 		s.watch.submitted(j)
 		go func() { _ = s.submitBestEffort(s.entries[number%len(s.entries)], j) }() // noted there
--- a/review/standins-3/case12.go
+++ b/review/standins-3/case12.go
@@ -4,7 +4,7 @@
 
 // oddReports: each agent gets one status report of another writer, in which a field is missing.
 func oddReports(s *scene) error {
-	first := kept(1, firstQueue, work{Millis: 4000}, step{Count: 8, CPU: 2000, Memory: 64, EstimatedMs: 4000})
+	first := oneStep(1, firstQueue, work{Millis: 4000}, step{Count: 8, CPU: 2000, Memory: 64, EstimatedMs: 4000})
 	if err := s.submitRunning(first); err != nil {
 		return err
 	}
@@ -19,7 +19,7 @@
 	time.Sleep(5 * time.Second)
 	var later []*job
 	for number := range 4 {
-		later = append(later, kept(101+number, firstQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 200}))
+		later = append(later, oneStep(101+number, firstQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: 200}))
 	}
 	if err := s.submitAll(later...); err != nil {
 		return err
--- a/review/standins-3/case15.go
+++ b/review/standins-3/case15.go
@@ -11,7 +11,7 @@
 // waits.
 func workerOnProbation(s *scene) error {
 	one := func(number int, does work, estimate int) *job {
-		return kept(number, firstQueue, does, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: estimate, Requirements: loneRack})
+		return oneStep(number, firstQueue, does, step{Count: 1, CPU: 2000, Memory: 64, EstimatedMs: estimate, Requirements: loneRack})
 	}
 	for number := range usualJobs {
 		if err := s.submitAll(one(101+number, work{Millis: 50}, 50)); err != nil {
--- a/review/standins-3/others.go
+++ b/review/standins-3/others.go
@@ -12,17 +12,17 @@
 // largeJobs: a large job comes whose tasks fill the memory of most workers and use little of their cores. Without the disruption its tasks
 // ask for little memory, and one runs at each of these workers too.
 func largeJobs(s *scene) error {
-	large := kept(1, firstQueue, work{Millis: 40000}, step{Count: 8, CPU: 500, Memory: 28000, EstimatedMs: 40000, Requirements: "a"})
+	large := oneStep(1, firstQueue, work{Millis: 40000}, step{Count: 8, CPU: 500, Memory: 28000, EstimatedMs: 40000, Requirements: "a"})
 	if !s.trouble {
 		large.steps[0].Memory, large.steps[0].AntiAffinity = 64, 1
 	}
-	usual := kept(2, firstQueue, work{Millis: 40000}, step{Count: 3, CPU: 12000, Memory: 64, EstimatedMs: 40000, Requirements: "b", AntiAffinity: 1})
+	usual := oneStep(2, firstQueue, work{Millis: 40000}, step{Count: 3, CPU: 12000, Memory: 64, EstimatedMs: 40000, Requirements: "b", AntiAffinity: 1})
 	if err := s.submitRunning(large, usual); err != nil {
 		return err
 	}
 	var small []*job
 	for number := range 4 {
-		small = append(small, kept(101+number, secondQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 8000, EstimatedMs: 200}))
+		small = append(small, oneStep(101+number, secondQueue, work{Millis: 200}, step{Count: 1, CPU: 2000, Memory: 8000, EstimatedMs: 200}))
 	}
 	if err := s.submitAll(small...); err != nil {
 		return err
@@ -40,7 +40,7 @@
 		if s.trouble && number%20 == 7 {
 			does.Millis *= longFactor
 		}
-		if err := s.submitAll(kept(1+number, firstQueue, does, step{Count: 8, CPU: 1600, Memory: 64, EstimatedMs: 60})); err != nil {
+		if err := s.submitAll(oneStep(1+number, firstQueue, does, step{Count: 8, CPU: 1600, Memory: 64, EstimatedMs: 60})); err != nil {
 			return err
 		}
 		time.Sleep(5 * time.Millisecond)
--- a/review/standins-3/revived.go
+++ b/review/standins-3/revived.go
@@ -15,7 +15,7 @@
 // revivedJob: the machine of an entry stands still, and the leading controller is killed. Meanwhile a best-effort job that the entry took
 // is cancelled through another entry.
 func revivedJob(s *scene) error {
-	j := kept(1, firstQueue, work{Millis: 10000}, step{Count: 2, CPU: 2000, Memory: 64, EstimatedMs: 10000})
+	j := oneStep(1, firstQueue, work{Millis: 10000}, step{Count: 2, CPU: 2000, Memory: 64, EstimatedMs: 10000})
 	s.watch.submitted(j)
 	last := len(s.entries) - 1
 	answered := make(chan struct{})
--- a/review/standins-3/scene.go
+++ b/review/standins-3/scene.go
@@ -40,8 +40,8 @@
 // loneRack is the label of one worker only.
 const loneRack = "r1-2"
 
-// kept returns a kept job of one step.
-func kept(number int, queue string, does work, one step) *job {
+// oneStep returns a job of one step.
+func oneStep(number int, queue string, does work, one step) *job {
 	return &job{id: fmt.Sprintf("5c0e7a21%08x", number), queue: queue, steps: []step{one}, does: does}
 }
 
