agent/leaseholder: the worker confirms an announcement before it is used

Cause: the agent took each announcement with a later start for the worker's next incarnation and left the worker that ran. It asked nobody, although the worker's own answers tell their incarnation. All later answers and announcements of the worker then counted as those of an earlier one, so the agent did not find back.

Change: an announcement of the incarnation that the worker has confirmed is applied at once, as before. One of another incarnation waits until the worker has answered a call for that ID (Identify: a poll that extends and acknowledges nothing) with that start. It is dropped when the answer tells otherwise, and asked for again after the next poll when there is none. At most eight wait, each for ten seconds, in turns.

Workers of local/simulator repeat their announcements, change their ID now and then and check the one of a call; another writer announces workers; at the end each agent must have reported its worker as it is.

--- a/agent/leaseholder/action.go
+++ b/agent/leaseholder/action.go
@@ -1,4 +1,4 @@
 package leaseholder
 
-// Action is Report, Start, Stop, Poll or LogEvent.
+// Action is Report, Start, Stop, Poll, Identify or LogEvent.
 type Action any
--- a/agent/leaseholder/cutlist_test.go
+++ b/agent/leaseholder/cutlist_test.go
@@ -88,7 +88,8 @@
 	t.Run("the worker was restarted", func(t *testing.T) { // it ran nothing, so its first list is not cut
 		f := newFixture(t)
 		f.workerStart = f.now
-		f.step(Announced{Sequence: 1, Worker: specifier.LeasedWorker{ID: "w", StartedAt: f.workerStart, Capacity: specifier.Resources{MilliCores: 1000}}})
+		f.step(f.announcement())
+		f.identifyWorker()
 		f.mustReport(false, false)
 		f.answerPolls(nil, nil)
 		f.mustReport(true, false)
--- a/agent/leaseholder/event.go
+++ b/agent/leaseholder/event.go
@@ -1,4 +1,4 @@
 package leaseholder
 
-// Event is Connected, Disconnected, OrderReceived, Announced, Departed, Started, Stopped, PollResult or Leave.
+// Event is Connected, Disconnected, OrderReceived, Announced, Identified, Departed, Started, Stopped, PollResult or Leave.
 type Event any
--- /dev/null
+++ b/agent/leaseholder/identified.go
@@ -0,0 +1,4 @@
+package leaseholder
+
+// Identified is the answer to Identify.
+type Identified struct{ Answer }
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -37,6 +37,10 @@
 	maxEndGap = 1 << 20
 	// maxPendingRenewals is the number of renewals without a grant that are kept.
 	maxPendingRenewals = 64
+	// maxUnconfirmed is the number of announcements that are kept until the worker confirms or refutes them. The worker repeats its own.
+	maxUnconfirmed = 8
+	// confirmationTimeout is how long an announcement is kept. It spans several of the worker's announcements.
+	confirmationTimeout = 10 * time.Second
 )
 
 // LeaseHolder is the control state of an agent. Exported fields are set before the first Step.
@@ -66,9 +70,11 @@
 	evacuationVersion uint64 // newest version that was applied
 	confirmedVersion  uint64 // newest version that was applied while no start was under way
 
-	worker          *specifier.LeasedWorker
-	sequence        uint64    // sequence number of the worker's last announcement
-	coldUntil       time.Time // when the worker reaches its full speed, by its last announcement
+	worker          *specifier.LeasedWorker // of the confirmed incarnation
+	unconfirmed     []announcement          // of incarnations that the worker has neither confirmed nor refuted
+	identifying     bool                    // the worker is being asked for the first of them
+	sequence        uint64                  // sequence number of the worker's last announcement
+	coldUntil       time.Time               // when the worker reaches its full speed, by its last announcement
 	clock           workerClock
 	startedAt       time.Time // start of the newest known incarnation of the worker
 	runs            map[specifier.RunKey]*trackedRun
@@ -103,6 +109,8 @@
 		l.orderReceived(event.Order)
 	case Announced:
 		l.announced(event)
+	case Identified:
+		l.identified(event.Answer)
 	case Departed:
 		l.departed(event.ID)
 	case Started:
--- a/agent/leaseholder/leaseholder_test.go
+++ b/agent/leaseholder/leaseholder_test.go
@@ -24,12 +24,31 @@
 	f := &fixture{t: t, now: start, workerStart: start.Add(-time.Hour),
 		holder: &LeaseHolder{Name: "agent", Incarnation: 1, GrantSpan: 1200 * time.Millisecond, MaxLease: time.Second, StartedAt: start}}
 	f.step(Connected{})
-	f.step(Announced{Sequence: 1, Worker: specifier.LeasedWorker{ID: "w", StartedAt: f.workerStart, Capacity: specifier.Resources{MilliCores: 1000}}})
+	f.step(f.announcement())
 	f.step(OrderReceived{specifier.LeaseOrder{Token: 1, GrantedRenewal: f.holder.renewal}})
+	f.identifyWorker()
 	f.answerPolls(nil, nil)
 	return f
 }
 
+// announcement returns the first announcement of the worker's present incarnation.
+func (f *fixture) announcement() Announced {
+	return Announced{Sequence: 1, Worker: specifier.LeasedWorker{ID: "w", StartedAt: f.workerStart, Capacity: specifier.Resources{MilliCores: 1000}}}
+}
+
+// identifyWorker answers the questions of the last step for the worker's incarnation, and those that follow. The actions of all these steps
+// count as those of the last one.
+func (f *fixture) identifyWorker() {
+	actions := f.actions
+	for asked := find[Identify](actions); len(asked) > 0; asked = find[Identify](f.actions) {
+		answer := f.answer()
+		answer.OtherIncarnation = asked[0].WorkerID != "w"
+		f.step(Identified{answer})
+		actions = append(actions, f.actions...)
+	}
+	f.actions = actions
+}
+
 func (f *fixture) step(event Event) { f.actions = f.holder.Step(f.now, event) }
 
 func (f *fixture) answer() Answer {
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -37,6 +37,9 @@
 		l.pollAgain = false
 		l.pollNow()
 	}
+	if !result.Immediate {
+		l.identify() // an earlier attempt may have had no conclusive answer
+	}
 }
 
 // applyPoll applies the result of a poll.
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -97,13 +97,15 @@
 }
 
 // adoptToken adopts the token of a new leader, or a higher one for this process, and polls the worker immediately.
-// After its answer, the worker carries out no start with an earlier token.
+// After its answer, the worker carries out no start with an earlier token. It is also asked to confirm what was
+// announced before the first token.
 func (l *LeaseHolder) adoptToken(token uint64) {
 	if token == l.token {
 		return
 	}
 	l.token = token
 	l.pollNow()
+	l.identify()
 }
 
 // tokenFactor is the factor of the controller's token in the token that the worker receives.
--- a/agent/leaserunner/runner.go
+++ b/agent/leaserunner/runner.go
@@ -26,9 +26,10 @@
 	// idleRenewals is the least number of renewals, each of which the leading controller answers, within the time-out. With fewer,
 	// agents reconnect while a new leader is busy with all of them.
 	idleRenewals = 4
-	// startTimeout and stopTimeout are for calls that a worker answers without waiting.
-	startTimeout = 50 * time.Millisecond
-	stopTimeout  = 50 * time.Millisecond
+	// startTimeout, stopTimeout and identifyTimeout are for calls that a worker answers without waiting.
+	startTimeout    = 50 * time.Millisecond
+	stopTimeout     = 50 * time.Millisecond
+	identifyTimeout = 50 * time.Millisecond
 	// pollMargin is added to the wait time of a poll.
 	pollMargin = 50 * time.Millisecond
 )
@@ -153,6 +154,8 @@
 		r.call(stopTimeout, func(ctx context.Context) leaseholder.Event { return r.Worker.Stop(ctx, control) })
 	case leaseholder.Poll:
 		r.call(control.Wait+pollMargin, func(ctx context.Context) leaseholder.Event { return r.Worker.Poll(ctx, control) })
+	case leaseholder.Identify:
+		r.call(identifyTimeout, func(ctx context.Context) leaseholder.Event { return r.Worker.Identify(ctx, control) })
 	case leaseholder.LogEvent:
 		r.logEvent(control)
 	}
--- a/agent/leaserunner/worker.go
+++ b/agent/leaserunner/worker.go
@@ -12,4 +12,5 @@
 	Start(ctx context.Context, start leaseholder.Start) leaseholder.Started
 	Stop(ctx context.Context, stop leaseholder.Stop) leaseholder.Stopped
 	Poll(ctx context.Context, poll leaseholder.Poll) leaseholder.PollResult
+	Identify(ctx context.Context, identify leaseholder.Identify) leaseholder.Identified
 }
--- a/local/simulator/fakeagent_test.go
+++ b/local/simulator/fakeagent_test.go
@@ -23,8 +23,9 @@
 	slowUntil         time.Time // until then, messages from and to the leader take long
 	streamBroken      bool      // the stream has lost a message, so later ones are lost too
 	wakeAt            time.Time
-	lastReportArrival time.Time // arrival of the last message to the leader; later messages arrive after it
-	lastOrderArrival  time.Time // arrival of the last message from the leader
+	lastReportArrival time.Time              // arrival of the last message to the leader; later messages arrive after it
+	lastOrderArrival  time.Time              // arrival of the last message from the leader
+	reported          specifier.LeasedWorker // the worker of the last report that has one
 }
 
 var lastStreamID dispatcher.Stream
@@ -125,10 +126,31 @@
 	if a.machine == nil || !a.worker.up {
 		return
 	}
-	worker := a.worker
-	worker.sequence++
-	a.step(leaseholder.Announced{Sequence: worker.sequence, Worker: specifier.LeasedWorker{ID: a.name + "-worker", StartedAt: worker.startedAt, Pool: poolName,
-		Capacity: specifier.Resources{MilliCores: workerCores, Memory: 1 << 20}}})
+	a.worker.sequence++
+	a.step(leaseholder.Announced{Sequence: a.worker.sequence, Worker: a.worker.describe()})
+}
+
+// announceForeign delivers an announcement of another writer: of a worker elsewhere, or of another incarnation of this one.
+func (a *fakeAgent) announceForeign() {
+	if a.machine == nil {
+		return
+	}
+	worker, random := a.worker.describe(), a.worker.random
+	worker.Capacity.MilliCores *= 1 + random.IntN(100)
+	worker.StartedAt = worker.StartedAt.Add(time.Duration(random.Int64N(int64(20*time.Second))) - 10*time.Second)
+	if random.IntN(2) == 0 {
+		worker.ID = "worker-of-another-writer"
+	}
+	a.world.logf("%s: another writer announces %s", a.name, worker.ID)
+	a.step(leaseholder.Announced{Sequence: random.Uint64N(10), Worker: worker})
+}
+
+// check fails unless the agent has reported the present incarnation of its worker.
+func (a *fakeAgent) check() {
+	reported, worker := a.reported, a.worker.describe()
+	if reported.ID != worker.ID || !reported.StartedAt.Equal(worker.StartedAt) || reported.Capacity != worker.Capacity || reported.Draining {
+		a.world.failf("%s uses the worker %+v, but its own is %+v", a.name, reported, worker)
+	}
 }
 
 // deliverOrder sends a message of the leader to the agent. Messages in transit are lost when the stream ends.
@@ -169,6 +191,8 @@
 			a.worker.stop(action, deliver)
 		case leaseholder.Poll:
 			a.worker.poll(action, deliver)
+		case leaseholder.Identify:
+			a.worker.identify(action, deliver)
 		case leaseholder.LogEvent:
 			w.logf("%s: %s task=%s run=%d %s", a.name, action.Event, action.Task, action.Run, action.Detail)
 		}
@@ -177,6 +201,9 @@
 }
 
 func (a *fakeAgent) sendReport(report specifier.LeaseReport) {
+	if report.Worker != nil {
+		a.reported = *report.Worker
+	}
 	w, leader, stream := a.world, a.leader, a.stream
 	a.streamBroken = a.streamBroken || w.now.Before(a.partitionedUntil)
 	if leader == nil || a.streamBroken {
--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -1,6 +1,9 @@
 package simulator
 
 import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +20,8 @@
 	callTimeout     = 150 * time.Millisecond
 	maxLease        = time.Second
 	maxStopDelay    = 50 * time.Millisecond
+	// announceInterval is the time between two announcements of a worker.
+	announceInterval = 1500 * time.Millisecond
 )
 
 // workerRun is a run of a task on one incarnation of a worker.
@@ -30,11 +35,13 @@
 // fakeWorker follows the documented worker protocol, for a worker that does not check its own capacity.
 type fakeWorker struct {
 	world        *world
+	random       *rand.Rand // of its own, so that the other faults of a seed stay as they were
 	name         string
 	zone         string
 	up           bool
 	incarnation  int
-	startedAt    time.Time
+	bootedAt     time.Time
+	startedAt    time.Time // bootedAt by the host's time of day
 	clockRate    float64
 	announce     func()
 	sequence     uint64
@@ -50,18 +57,39 @@
 }
 
 func newFakeWorker(w *world, name string) *fakeWorker {
-	f := &fakeWorker{world: w, name: name, announce: func() {}}
+	stream := fnv.New64()
+	_, _ = stream.Write([]byte(name)) // can't fail
+	f := &fakeWorker{world: w, name: name, random: rand.New(rand.NewPCG(w.seed, stream.Sum64())), announce: func() {}}
 	f.boot()
 	return f
 }
 
+// describe returns the worker as it announces itself.
+func (f *fakeWorker) describe() specifier.LeasedWorker {
+	return specifier.LeasedWorker{ID: f.id(), StartedAt: f.startedAt, Pool: poolName, Capacity: specifier.Resources{MilliCores: workerCores, Memory: 1 << 20}}
+}
+
+// id returns the worker's ID. Every third incarnation has a new one.
+func (f *fakeWorker) id() string { return fmt.Sprintf("%s-worker-%d", f.name, f.incarnation/3) }
+
 func (f *fakeWorker) boot() {
-	f.up, f.startedAt, f.clockRate = true, f.world.now, 0.98+0.02*f.world.random.Float64()
+	f.up, f.bootedAt, f.clockRate = true, f.world.now, 0.98+0.02*f.world.random.Float64()
+	f.startedAt = f.bootedAt
 	f.incarnation++
 	f.token, f.leaseEnd, f.lastEnd, f.sequence = 0, 0, 0, 0
 	f.expiries, f.contexts = 0, make(map[uint64]endContext)
 	f.runs, f.highestEnded, f.ends, f.waitingPolls = make(map[specifier.RunKey]*workerRun), make(map[string]uint64), nil, nil
-	f.world.after(f.world.randomDuration(0, 200*time.Millisecond), func() { f.announce() })
+	incarnation := f.incarnation
+	f.world.after(f.world.randomDuration(0, 200*time.Millisecond), func() { f.announceRepeatedly(incarnation) })
+}
+
+// announceRepeatedly repeats the worker's announcement while the incarnation is up.
+func (f *fakeWorker) announceRepeatedly(incarnation int) {
+	if !f.up || f.incarnation != incarnation {
+		return
+	}
+	f.announce()
+	f.world.after(announceInterval, func() { f.announceRepeatedly(incarnation) })
 }
 
 // crash ends the worker. It restarts later under the same ID and without state.
@@ -85,7 +113,7 @@
 }
 
 func (f *fakeWorker) clock() time.Duration {
-	return time.Second + time.Duration(f.clockRate*float64(f.world.now.Sub(f.startedAt)))
+	return time.Second + time.Duration(f.clockRate*float64(f.world.now.Sub(f.bootedAt)))
 }
 
 func (f *fakeWorker) answer(calledAt time.Time) leaseholder.Answer {
@@ -127,6 +155,24 @@
 	}
 }
 
+// isOther reports whether a call is meant for a worker with another ID.
+func (f *fakeWorker) isOther(id string) bool { return id != "" && id != f.id() }
+
+// identify tells the incarnation, or that another worker was called. Some answers are lost.
+func (f *fakeWorker) identify(call leaseholder.Identify, answer func(leaseholder.Event)) {
+	calledAt, lost := f.world.now, f.world.faultsEnabled && f.random.IntN(10) == 0
+	delay := func() time.Duration { return time.Duration(f.random.Int64N(int64(2 * time.Millisecond))) }
+	f.world.after(delay(), func() {
+		if !f.up || lost {
+			f.world.after(callTimeout, func() { answer(leaseholder.Identified{Answer: leaseholder.Answer{CalledAt: calledAt, Lost: true}}) })
+			return
+		}
+		identity := f.answer(calledAt)
+		identity.OtherIncarnation = f.isOther(call.WorkerID)
+		f.world.after(delay(), func() { answer(leaseholder.Identified{Answer: identity}) })
+	})
+}
+
 // acceptToken stores a fencing token and reports true, or reports false if it has seen a higher one.
 func (f *fakeWorker) acceptToken(token uint64) bool {
 	if token < f.token {
@@ -179,6 +225,9 @@
 			respond(func() { answer(leaseholder.Started{Answer: f.answer(calledAt), Key: key, Refused: true, Kind: kind}) })
 		}
 		switch {
+		case f.isOther(call.WorkerID):
+			refuse(specifier.EndRefusedOther)
+			return
 		case !f.acceptToken(call.Token):
 			refuse(specifier.EndRefusedFence)
 			return
@@ -234,7 +283,7 @@
 	calledAt := f.world.now
 	onTimeout := func(a leaseholder.Answer) { answer(leaseholder.Stopped{Answer: a, Key: call.Key}) }
 	f.call(callTimeout, onTimeout, func(respond func(func())) {
-		if !f.acceptToken(call.Token) {
+		if f.isOther(call.WorkerID) || !f.acceptToken(call.Token) {
 			respond(func() { answer(leaseholder.Stopped{Answer: f.answer(calledAt), Key: call.Key, Refused: true}) })
 			return
 		}
@@ -252,7 +301,7 @@
 		answer(leaseholder.PollResult{Answer: a, Immediate: call.Immediate, Token: call.Token})
 	}
 	f.call(call.Wait+callTimeout, onTimeout, func(respond func(func())) {
-		if !f.acceptToken(call.Token) {
+		if f.isOther(call.WorkerID) || !f.acceptToken(call.Token) {
 			respond(func() {
 				answer(leaseholder.PollResult{Answer: f.answer(calledAt), Immediate: call.Immediate, Token: call.Token, Refused: true})
 			})
--- a/local/simulator/world_test.go
+++ b/local/simulator/world_test.go
@@ -282,6 +282,12 @@
 		agent := w.agents[w.random.IntN(len(w.agents))]
 		w.after(w.randomDuration(time.Second, faultTime), agent.worker.crash)
 	}
+	for _, agent := range w.agents {
+		random := agent.worker.random
+		for range random.IntN(4) {
+			w.after(time.Duration(random.Int64N(int64(faultTime))), agent.announceForeign)
+		}
+	}
 	return w.callers
 }
 
@@ -353,6 +359,9 @@
 	for _, operator := range w.operators {
 		operator.check()
 	}
+	for _, agent := range w.agents {
+		agent.check()
+	}
 	if at := slices.IndexFunc(w.leaders, func(l *fakeLeader) bool { return l.index == w.leaderIndex }); at >= 0 {
 		for _, id := range w.leaders[at].machine.Recorder.OpenJobs() {
 			w.failf("recorded job %s has not ended %v after the last fault", id, settleTime)
