agent/leaseholder: starts of a worker are not ordered by the time of day

Jobs that only this worker may run never start.

Cause: an answer whose start was earlier than the newest known one counted as one of an earlier incarnation. The start is a time of day.

Change: an answer with another start comes from a newer incarnation if its call was made after the present start was first seen, on the agent's own clock, and has been overtaken otherwise. An answer that is taken for overtaken by mistake costs one poll.

--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -77,6 +77,7 @@
 	coldUntil       time.Time               // when the worker reaches its full speed, by its last announcement
 	clock           workerClock
 	startedAt       time.Time // start of the newest known incarnation of the worker
+	startSeenAt     time.Time // when the first answer with this start arrived
 	runs            map[specifier.RunKey]*trackedRun
 	ends            []specifier.RunEnd // not yet acknowledged by the controller
 	lastListed      uint64             // highest end that the worker listed
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -81,7 +81,7 @@
 	if !l.startedAt.IsZero() {
 		l.emit(LogEvent{Event: "WorkerReborn", Detail: l.WorkerID(), Count: len(l.runs)})
 	}
-	l.startedAt = startedAt
+	l.startedAt, l.startSeenAt = startedAt, l.now
 	l.incarnations++
 	l.restartLeaseEnd = l.now.Add(time.Duration(float64(l.MaxLease)/minClockRate) + maxStartTime)
 	l.ends, l.lastListed, l.acknowledged, l.leaseEnd = nil, 0, 0, 0
@@ -106,12 +106,16 @@
 }
 
 // accept applies the clock reading of an answer and detects a restart of the worker. It reports whether there was an answer
-// and whether it came from the newest incarnation.
+// and whether it came from the newest incarnation. Starts are times of day, which may step, so their order tells nothing: an answer with
+// another start is newer if its call was made after the present start was seen, and has been overtaken otherwise.
 func (l *LeaseHolder) accept(answer Answer) bool {
-	if answer.Lost || answer.StartedAt.Before(l.startedAt) && !answer.StartedAt.IsZero() {
+	if answer.Lost {
 		return false
 	}
 	if !answer.StartedAt.IsZero() && !answer.StartedAt.Equal(l.startedAt) {
+		if answer.CalledAt.Before(l.startSeenAt) {
+			return false
+		}
 		l.workerRestarted(answer.StartedAt)
 	}
 	l.clock.read(answer.Clock, l.now)
--- a/local/simulator/fakeworker_test.go
+++ b/local/simulator/fakeworker_test.go
@@ -22,6 +22,8 @@
 	maxStopDelay    = 50 * time.Millisecond
 	// announceInterval is the time between two announcements of a worker.
 	announceInterval = 1500 * time.Millisecond
+	// maxClockStep bounds the error of a worker host's time of day, which may step between two incarnations of the worker.
+	maxClockStep = 3 * time.Second
 )
 
 // workerRun is a run of a task on one incarnation of a worker.
@@ -74,7 +76,7 @@
 
 func (f *fakeWorker) boot() {
 	f.up, f.bootedAt, f.clockRate = true, f.world.now, 0.98+0.02*f.world.random.Float64()
-	f.startedAt = f.bootedAt
+	f.startedAt = f.bootedAt.Add(time.Duration(f.random.Int64N(int64(2*maxClockStep))) - maxClockStep)
 	f.incarnation++
 	f.token, f.leaseEnd, f.lastEnd, f.sequence = 0, 0, 0, 0
 	f.expiries, f.contexts = 0, make(map[uint64]endContext)
