agent/leaseholder: a sequence number that is too high does not last

Cause: an announcement with a lower sequence number than the last one was ignored for as long as the worker's incarnation lived. One with a number far too high, under the worker's own ID, start and address, hid all later ones: a worker that drains went on getting work, or one that is ready got none.

Change: after ten seconds without a higher number, which span several announcements, a lower one counts again.

--- a/agent/leaseholder/announcement.go
+++ b/agent/leaseholder/announcement.go
@@ -17,14 +17,14 @@
 	return a.Worker.ID == other.Worker.ID && a.Worker.StartedAt.Equal(other.Worker.StartedAt)
 }
 
-// announced applies an announcement of the incarnation that the worker has confirmed. One of another incarnation may come from another
-// writer or have been delayed, so the worker is asked first.
+// announced applies an announcement of the incarnation that the worker has confirmed, unless it is late. One of another incarnation may come
+// from another writer or have been delayed, so the worker is asked first.
 func (l *LeaseHolder) announced(event Announced) {
 	arrived := announcement{Announced: event, coldUntil: l.now.Add(event.Worker.ColdFor), expiresAt: l.now.Add(confirmationTimeout)}
 	switch {
 	case l.worker == nil || !arrived.sameIncarnation(Announced{Worker: *l.worker}):
 		l.awaitConfirmation(arrived)
-	case event.Sequence > l.sequence:
+	case event.Sequence > l.sequence || !l.now.Before(l.sequenceUntil):
 		l.describe(arrived)
 	}
 }
@@ -35,7 +35,8 @@
 	if l.worker == nil || l.worker.Draining != worker.Draining {
 		l.workerChanged = true
 	}
-	l.worker, l.sequence, l.coldUntil = &worker, latest.Sequence, latest.coldUntil
+	l.worker, l.coldUntil = &worker, latest.coldUntil
+	l.sequence, l.sequenceUntil = latest.Sequence, l.now.Add(sequenceTimeout)
 	if l.workerChanged {
 		l.renewIfConnected()
 	}
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -41,6 +41,9 @@
 	maxUnconfirmed = 8
 	// confirmationTimeout is how long an announcement is kept. It spans several of the worker's announcements.
 	confirmationTimeout = 10 * time.Second
+	// sequenceTimeout is how long an announcement with a lower sequence number than the last one counts as late. The worker sends several
+	// in this time, so one of them would have been applied if the last number were the worker's.
+	sequenceTimeout = 10 * time.Second
 )
 
 // LeaseHolder is the control state of an agent. Exported fields are set before the first Step.
@@ -74,6 +77,7 @@
 	unconfirmed     []announcement          // of incarnations that the worker has neither confirmed nor refuted
 	identifying     bool                    // the worker is being asked for the first of them
 	sequence        uint64                  // sequence number of the worker's last announcement
+	sequenceUntil   time.Time               // until then, an announcement with a lower number is late
 	coldUntil       time.Time               // when the worker reaches its full speed, by its last announcement
 	clock           workerClock
 	startedAt       time.Time // start of the newest known incarnation of the worker
