agent/leaseholder: runs and worker of a new agent are reported together

Cause: since the worker confirms announcements, an agent whose worker announces itself before it has a leader could report that all runs are known one call before the worker's identity. By the code, a leader that sees an agent without a worker and without runs dismisses it in the log, and enrols it again with the next report.

Test: two subtests of TestConfirmationOfAnAnnouncement, which failed before.

--- a/agent/leaseholder/announcement.go
+++ b/agent/leaseholder/announcement.go
@@ -85,6 +85,7 @@
 	l.unconfirmed = l.unconfirmed[1:]
 	if !l.accept(answer) || answer.StartedAt.IsZero() && !answer.OtherIncarnation {
 		l.unconfirmed = append(l.unconfirmed, first)
+		l.reportIfListed()
 		return
 	}
 	if !answer.OtherIncarnation && first.Worker.StartedAt.Equal(answer.StartedAt) {
@@ -93,6 +94,21 @@
 		l.emit(LogEvent{Event: "AnnouncementRefuted", Detail: first.Worker.ID})
 	}
 	l.identify()
+	l.reportIfListed()
+}
+
+// reportListed reports that all runs are known, together with the worker if it is being identified: to an agent that has no runs and no
+// worker, the leader would have to give its place in the log again right after it has dismissed it.
+func (l *LeaseHolder) reportListed() {
+	l.listedUnreported = true
+	l.reportIfListed()
+}
+
+// reportIfListed sends the report that reportListed has held back.
+func (l *LeaseHolder) reportIfListed() {
+	if l.listedUnreported && !l.identifying {
+		l.renewIfConnected()
+	}
 }
 
 // confirmed makes an announced incarnation the agent's worker.
--- a/agent/leaseholder/identity_test.go
+++ b/agent/leaseholder/identity_test.go
@@ -172,6 +172,36 @@
 		f.identifyWorker()
 		f.mustStartAt("w")
 	})
+	listed := func(t *testing.T) (*fixture, []Action) { // the worker has listed its runs; the question for its incarnation is under way
+		f := newAgent(t)
+		f.step(f.announcement())
+		question := f.actions
+		for range 2 { // the first answer tells the incarnation, which the second poll fences off
+			f.step(PollResult{Answer: f.answer(), Immediate: true, Token: f.holder.workerToken(), Completeness: ListComplete})
+			must.SliceEmpty(t, find[Report](f.actions))
+		}
+		must.True(t, f.holder.allRunsKnown())
+		return f, question
+	}
+	mustReportListed := func(f *fixture, worker *specifier.LeasedWorker) {
+		f.t.Helper()
+		reports := find[Report](f.actions)
+		must.SliceLen(f.t, 1, reports)
+		must.True(f.t, reports[0].Report.AllRunsKnown)
+		must.Eq(f.t, worker, reports[0].Report.Worker)
+	}
+	t.Run("with all runs known", func(t *testing.T) { // guards against a leader that dismisses the agent, since it has no runs and no worker
+		f, question := listed(t)
+		f.actions = question
+		f.identifyWorker()
+		worker := f.announcement().Worker
+		mustReportListed(f, &worker)
+	})
+	t.Run("with all runs known and no answer", func(t *testing.T) { // guards against a report that is held back for good
+		f, _ := listed(t)
+		f.step(Identified{Answer{CalledAt: f.now, Lost: true}})
+		mustReportListed(f, nil)
+	})
 	t.Run("time until full speed", func(t *testing.T) { // guards against a worker that counts as cold for longer than it announced
 		f := newAgent(t)
 		cold := f.announcement()
--- a/agent/leaseholder/leaseholder.go
+++ b/agent/leaseholder/leaseholder.go
@@ -73,33 +73,34 @@
 	evacuationVersion uint64 // newest version that was applied
 	confirmedVersion  uint64 // newest version that was applied while no start was under way
 
-	worker          *specifier.LeasedWorker // of the confirmed incarnation
-	unconfirmed     []announcement          // of incarnations that the worker has neither confirmed nor refuted
-	identifying     bool                    // the worker is being asked for the first of them
-	sequence        uint64                  // sequence number of the worker's last announcement
-	sequenceUntil   time.Time               // until then, an announcement with a lower number is late
-	coldUntil       time.Time               // when the worker reaches its full speed, by its last announcement
-	clock           workerClock
-	startedAt       time.Time // start of the newest known incarnation of the worker
-	startSeenAt     time.Time // when the first answer with this start arrived
-	runs            map[specifier.RunKey]*trackedRun
-	ends            []specifier.RunEnd // not yet acknowledged by the controller
-	lastListed      uint64             // highest end that the worker listed
-	listedAt        time.Time          // when the newest list of runs was applied
-	listedClock     time.Duration      // reading of the worker's clock in that list
-	endsCut         bool               // the last list of ends was cut
-	endsListed      bool               // a list of ends was not cut, so that this process has seen the ends before it too
-	acknowledged    uint64             // highest end that the controller has recorded
-	leaseEnd        time.Duration      // end of the longest lease that was requested, on the worker's clock
-	answeredAt      time.Time          // time of the last answer to a poll
-	restartLeaseEnd time.Time          // until then, a start that reached the restarted worker may have a lease
-	polling         bool               // a periodic poll is under way
-	immediatePolls  int                // immediate polls that are under way
-	pollAgain       bool               // another immediate poll is due once these have ended
-	failedPolls     int                // consecutive polls that failed
-	pollAt          time.Time          // when the next poll is due
-	pausedUntil     time.Time          // until then, the next poll waits for the controller to acknowledge the ends
-	workerChanged   bool               // the worker has changed since the last report
+	worker           *specifier.LeasedWorker // of the confirmed incarnation
+	unconfirmed      []announcement          // of incarnations that the worker has neither confirmed nor refuted
+	listedUnreported bool                    // all runs are known, and the report of this waits for the worker's identity
+	identifying      bool                    // the worker is being asked for the first of them
+	sequence         uint64                  // sequence number of the worker's last announcement
+	sequenceUntil    time.Time               // until then, an announcement with a lower number is late
+	coldUntil        time.Time               // when the worker reaches its full speed, by its last announcement
+	clock            workerClock
+	startedAt        time.Time // start of the newest known incarnation of the worker
+	startSeenAt      time.Time // when the first answer with this start arrived
+	runs             map[specifier.RunKey]*trackedRun
+	ends             []specifier.RunEnd // not yet acknowledged by the controller
+	lastListed       uint64             // highest end that the worker listed
+	listedAt         time.Time          // when the newest list of runs was applied
+	listedClock      time.Duration      // reading of the worker's clock in that list
+	endsCut          bool               // the last list of ends was cut
+	endsListed       bool               // a list of ends was not cut, so that this process has seen the ends before it too
+	acknowledged     uint64             // highest end that the controller has recorded
+	leaseEnd         time.Duration      // end of the longest lease that was requested, on the worker's clock
+	answeredAt       time.Time          // time of the last answer to a poll
+	restartLeaseEnd  time.Time          // until then, a start that reached the restarted worker may have a lease
+	polling          bool               // a periodic poll is under way
+	immediatePolls   int                // immediate polls that are under way
+	pollAgain        bool               // another immediate poll is due once these have ended
+	failedPolls      int                // consecutive polls that failed
+	pollAt           time.Time          // when the next poll is due
+	pausedUntil      time.Time          // until then, the next poll waits for the controller to acknowledge the ends
+	workerChanged    bool               // the worker has changed since the last report
 }
 
 // Step handles one event.
--- a/agent/leaseholder/polling.go
+++ b/agent/leaseholder/polling.go
@@ -68,7 +68,7 @@
 		l.listed(result)
 	}
 	if !known && l.runsListed() {
-		l.renewIfConnected()
+		l.reportListed()
 	}
 	if len(l.ends) > 0 && !result.Immediate {
 		l.pausedUntil = l.now.Add(acknowledgeTimeout)
--- a/agent/leaseholder/session.go
+++ b/agent/leaseholder/session.go
@@ -16,6 +16,7 @@
 
 // renew asks for a grant and lists the runs and ends.
 func (l *LeaseHolder) renew() {
+	l.listedUnreported = false
 	l.renewal++
 	l.renewals[l.renewal] = l.now
 	delete(l.renewals, l.renewal-maxPendingRenewals)
