local/simulator: a leader gets all reports of a stream before its end

Cause: a fault of the simulation. An agent is killed while its link is slow. The leader learns of the end of stream 24 at 4.453 s and gets a report of that stream at 4.507 s. It takes the stream for a new one, whose lists have every order, so the runs that the delayed list lacks count as lost. A real leader gets no report after the end of its stream: controller/server notifies it once the goroutine that receives the reports has returned.

Change: the end of a stream arrives after its last report. The checks stay as they are.

--- a/local/simulator/fakeagent_test.go
+++ b/local/simulator/fakeagent_test.go
@@ -98,7 +98,9 @@
 	}
 	leader, stream := a.leader, a.stream
 	a.leader = nil
-	a.world.after(a.world.randomDuration(0, 500*time.Millisecond), func() { leader.step(dispatcher.AgentDisconnected{Stream: stream}) })
+	// The leader gets every report of a stream before it learns of the stream's end.
+	ends := latest(a.world.now.Add(a.world.randomDuration(0, 500*time.Millisecond)), a.lastReportArrival)
+	a.world.after(ends.Sub(a.world.now), func() { leader.step(dispatcher.AgentDisconnected{Stream: stream}) })
 }
 
 // maintainStream checks the stream at random intervals: it opens one if none is open, and now and then closes one to a
