--- a/local/deployer/stop_test.go
+++ b/local/deployer/stop_test.go
@@ -162,7 +162,7 @@
 	http.DefaultClient.CloseIdleConnections()
 
 	b.checkRefused()
-	must.SliceEmpty(t, b.problems)
+	must.SliceEmpty(t, b.problems, must.Sprint(b.problems))
 	must.Positive(t, len(b.refused), must.Sprint("the entry refused no job, so it stopped too late"))
 	must.Zero(t, dropped)
 	must.SliceEmpty(t, verifier.Check(events, verifier.Facts{}))
